--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Document versions, promotion, leases and membership.
--- /dev/null
+++ b/crates/document/src/lib.rs
@@ -0,0 +1,1 @@
+//! Environment document: types, checks, findings, digest, diff and JSON Schema.
--- /dev/null
+++ b/crates/groups/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert map switch and fencing of engine orders.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments of scripts/measure.
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one experiment and prints its results.
+
+fn main() {}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert placement policy.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replica choice, health and admission.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the backend servers.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Platform traits, HTTP clients and in-memory fakes.
--- /dev/null
+++ b/crates/types/src/name.rs
@@ -0,0 +1,87 @@
+//! Names that operators choose.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::ParseError;
+
+/// Longest name in bytes; names are metric labels and parts of row keys.
+pub const NAME_BYTES: usize = 64;
+
+/// Tells whether a text can be a name: 1 to 64 bytes of `a-z 0-9 - _ .`.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.');
+    (1..=NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+/// Defines a newtype over a short text whose characters are checked when it is parsed or decoded.
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+            schemars::JsonSchema,
+        )]
+        #[serde(try_from = "SmolStr")]
+        #[schemars(with = "String")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = ParseError;
+
+            fn try_from(text: SmolStr) -> Result<Self, ParseError> {
+                if is_name(&text) { Ok(Self(text)) } else { Err(ParseError::Name(text.into())) }
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                SmolStr::new(text).try_into()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+name!(
+    /// Name of an organisation whose requests the fleet serves.
+    Organisation
+);
+name!(
+    /// Name of a service in the environment document.
+    ServiceName
+);
+name!(
+    /// Name of a group of ranks.
+    GroupName
+);
+name!(
+    /// Name of an availability zone.
+    Zone
+);
+name!(
+    /// Id of a VM on the platform's list.
+    VmId
+);
+name!(
+    /// Name of the agent beside one backend server; it stays the same over restarts.
+    AgentId
+);
--- /dev/null
+++ b/crates/types/src/outcome.rs
@@ -0,0 +1,176 @@
+//! Outcomes, reasons and priorities; the one source of metric labels, log fields and problem
+//! documents.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ParseError;
+
+/// How an attempt or a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The backend server's whole answer was passed on.
+    Answered,
+    /// Proved: the backend server did not run the request and never will.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The name in metrics, logs and problem documents.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Defines the reasons with their name and the sentence that a caller reads.
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $variant:ident => $name:literal, $status:literal, $sentence:literal;)+) => {
+        /// Why a request was refused, cut or tried again.
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        pub enum Reason {
+            $($(#[$doc])* $variant,)+
+        }
+
+        impl Reason {
+            /// Every reason.
+            pub const ALL: &'static [Reason] = &[$(Reason::$variant,)+];
+
+            /// The name in metrics, logs and problem documents.
+            pub fn as_str(self) -> &'static str {
+                match self { $(Reason::$variant => $name,)+ }
+            }
+
+            /// The HTTP status of a request that ends with this reason.
+            pub fn status(self) -> u16 {
+                match self { $(Reason::$variant => $status,)+ }
+            }
+
+            /// A sentence for the caller.
+            pub fn sentence(self) -> &'static str {
+                match self { $(Reason::$variant => $sentence,)+ }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// No valid bearer token.
+    Unauthorized => "unauthorized", 401, "The bearer token is missing or not known.";
+    /// The service is not in the document.
+    UnknownService => "unknown_service", 404, "The environment has no service of this name.";
+    /// The service has no such route.
+    UnknownRoute => "unknown_route", 404, "The service has no route for this path.";
+    /// A header or the body is malformed.
+    BadRequest => "bad_request", 400, "A header or the body of the request is malformed.";
+    /// The request body exceeds the route's limit.
+    BodyTooLarge => "body_too_large", 413, "The request body is larger than the route allows.";
+    /// The caller sent its request too slowly.
+    SlowCaller => "slow_caller", 408, "The request was not received within the time allowed.";
+    /// The process has no document yet.
+    NoDocument => "no_document", 503, "The configuration is not known yet.";
+    /// No replica of the service can take the request.
+    NoReplica => "no_replica", 503, "No replica of the service can take the request.";
+    /// The agent or the entry is leaving.
+    Draining => "draining", 503, "The replica is leaving and takes no new work.";
+    /// The dispatch names another run of the agent.
+    WrongIncarnation => "wrong_incarnation", 503, "The agent was restarted.";
+    /// The dispatch was made in an earlier dispatch window.
+    StaleWindow => "stale_window", 503, "The dispatch arrived too late.";
+    /// The agent has already seen this attempt.
+    Duplicate => "duplicate", 409, "The attempt has already been received.";
+    /// The attempt was cancelled before it arrived.
+    Tombstone => "tombstone", 409, "The attempt was cancelled before it arrived.";
+    /// The agent's queue is full.
+    QueueFull => "queue_full", 429, "The queue of the replica is full.";
+    /// The organisation's share of the queue is used up.
+    ShareExceeded => "share_exceeded", 429, "The organisation's share of the queue is used up.";
+    /// The deadline passed, or can't be met.
+    Deadline => "deadline", 504, "The deadline passed or can't be met.";
+    /// The retry budget is used up.
+    RetryBudget => "retry_budget", 503, "The retry budget is used up.";
+    /// The connection to the agent was lost.
+    LinkLost => "link_lost", 502, "The connection to the replica was lost.";
+    /// The agent stopped answering.
+    Stalled => "stalled", 504, "The replica stopped answering.";
+    /// The backend server failed.
+    BackendFailed => "backend_failed", 502, "The backend server failed.";
+    /// The frame does not belong to the request.
+    Protocol => "protocol", 502, "A peer sent a frame that doesn't belong to the request.";
+    /// The caller went away.
+    CallerGone => "caller_gone", 499, "The caller closed the connection.";
+    /// The platform's table service can't be reached.
+    StoreUnavailable => "store_unavailable", 503, "The platform's table service can't be reached.";
+    /// The key was used with another body.
+    KeyReused => "key_reused", 422, "The idempotency key was used with another request body.";
+    /// A request with this key is running.
+    InProgress => "in_progress", 409, "A request with this idempotency key is running.";
+    /// What became of an earlier request with this key isn't known.
+    OutcomeLost => "outcome_lost", 409, "What became of an earlier request with this key isn't known.";
+    /// The answer was too large to be stored with its key.
+    AnswerNotKept => "answer_not_kept", 409, "The request was answered; the answer was too large to keep.";
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Priority of a request, most urgent first.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// A person waits for the answer.
+    Interactive,
+    /// The default.
+    #[default]
+    Normal,
+    /// Work that may wait.
+    Batch,
+}
+
+impl FromStr for Priority {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "interactive" => Ok(Priority::Interactive),
+            "normal" => Ok(Priority::Normal),
+            "batch" => Ok(Priority::Batch),
+            _ => Err(ParseError::Choice(
+                text.to_owned(),
+                "interactive, normal, batch",
+            )),
+        }
+    }
+}
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Priority::Interactive => "interactive",
+            Priority::Normal => "normal",
+            Priority::Batch => "batch",
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between processes and their QUIC transport.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The siskinbend load balancer as a library; `main.rs` only calls it.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `siskinbend` binary.
+
+fn main() {}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests, one file a feature.
+
+mod type_parsing;
