Add the frame of the measuring tool

Cause: experiments grow in parallel and need one command line.

Conclusion: each experiment fills its own module.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,8 @@
-//! Experiments of scripts/measure.
+//! Experiments of `scripts/measure`; each module runs one and returns its lines.
+
+pub mod capacity;
+pub mod documents;
+pub mod rebalance;
+pub mod requests;
+pub mod routing;
+pub mod switch;
