Add the interface of replica choice and admission

Cause: the shells of entry and agent are written against this crate now.

Change: picker, policies, health limits, subset, queue and load report with their final signatures. The policies work on reports; corrections, health, fairness and affinity follow behind the same signatures.

Ruled out: a report without its age, because the correction by own work needs to know which dispatches a late report already counts.

Before and after: the crate was empty; it builds and has no tests yet.

Conclusion: callers can be written; behaviour follows.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,26 @@
 //! Replica choice, health and admission.
+//!
+//! Everything here is a pure state machine: time and randomness are passed in.
+
+pub mod admission;
+pub mod health;
+pub mod picker;
+pub mod policy;
+pub mod report;
+pub mod subset;
+
+pub use admission::Place;
+pub use admission::Queue;
+pub use admission::Taken;
+pub use admission::Ticket;
+pub use picker::Choice;
+pub use picker::Done;
+pub use picker::Explanation;
+pub use picker::Picker;
+pub use picker::Replica;
+pub use picker::Seen;
+pub use picker::Verdict;
+pub use picker::Wish;
+pub use policy::Kind;
+pub use policy::Policy;
+pub use report::Report;
