Add the interface of the request state machines

Cause: the shells of entry and agent need the types and signatures before the decisions behind them are complete.

Change: types and signatures of call, ledger, claim and retry budget. The bodies of Call and Ledger are incomplete: a call only asks for a target and a ledger only checks the incarnation.

Ruled out: a wall-clock expiry in the row, which entries with different clocks would judge differently.

--- /dev/null
+++ b/crates/request/src/budget.rs
@@ -0,0 +1,42 @@
+//! Token bucket that keeps retries a fixed share of requests.
+
+/// Thousandths of a retry that each request adds: retries stay at or under 10 % of requests.
+const DEPOSIT_MILLIS: u64 = 100;
+/// Thousandths of a retry that one retry takes.
+const RETRY_MILLIS: u64 = 1_000;
+
+/// Retry budget of one entry, shared by all its calls.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    /// Thousandths of a retry at hand.
+    balance: u64,
+    /// Most thousandths that can be saved up.
+    limit: u64,
+}
+
+impl RetryBudget {
+    /// A full budget that saves up at most `burst` retries.
+    pub fn new(burst: u32) -> Self {
+        let limit = u64::from(burst) * RETRY_MILLIS;
+        Self {
+            balance: limit,
+            limit,
+        }
+    }
+
+    /// Adds the share of one new request.
+    pub fn deposit(&mut self) {
+        self.balance = (self.balance + DEPOSIT_MILLIS).min(self.limit);
+    }
+
+    /// Takes one retry; false if the budget is used up.
+    pub fn take(&mut self) -> bool {
+        match self.balance.checked_sub(RETRY_MILLIS) {
+            Some(rest) => {
+                self.balance = rest;
+                true
+            }
+            None => false,
+        }
+    }
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,1 +1,25 @@
 //! State machines of one request: entry side, agent ledger, claims and retry budget.
+
+pub mod budget;
+pub mod call;
+pub mod claim;
+pub mod ledger;
+
+pub use budget::RetryBudget;
+pub use call::Action;
+pub use call::Call;
+pub use call::Event;
+pub use call::Key;
+pub use call::OnOutage;
+pub use call::Spec;
+pub use call::Target;
+pub use claim::ClaimError;
+pub use claim::ClaimRow;
+pub use claim::ClaimState;
+pub use claim::StoredAnswer;
+pub use ledger::AttemptRef;
+pub use ledger::CancelState;
+pub use ledger::Dispatch;
+pub use ledger::Finish;
+pub use ledger::Found;
+pub use ledger::Ledger;
