Add the environment document with its checks and samples

Cause: every process is configured by one document, and a fault in it must be found before it is in force.

Change: types, look-ups, digest, diff, the generated JSON Schema, and checks that report all findings with line and path. Fields are checked against the schema, so that one malformed field does not hide the next, as it does with serde's first error. Tokens are compared word by word in constant time. Sample documents for both deployments carry their plain tokens as comments.

Ruled out: serde errors alone, because they stop at the first fault; a hash map of token digests, because its time depends on the digest.

Conclusion: a rate limit of zero, a dangling reference and a shared token are refused offline.

--- /dev/null
+++ b/crates/document/examples/schema.rs
@@ -0,0 +1,5 @@
+//! Prints the JSON Schema; its output is committed as `docs/document.schema.json`.
+
+fn main() {
+    print!("{}", siskinbend_document::render_schema());
+}
