--- /dev/null
+++ b/crates/wire/src/limits.rs
@@ -0,0 +1,35 @@
+//! Limits and timeouts of the transport.
+
+use std::time::Duration;
+
+/// Bytes of a frame's header: kind, payload length, request id.
+pub const HEADER_BYTES: usize = 1 + 4 + 16;
+
+/// Longest payload of a frame in bytes; a peer that announces more is cut off.
+pub const PAYLOAD_BYTES: usize = 1 << 20;
+
+/// A connection without any packet for this long is lost.
+///
+/// A frozen peer must count as failed within 3 s.
+pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Interval of keep-alive packets; two may be lost before the idle timeout.
+pub const KEEP_ALIVE: Duration = Duration::from_millis(800);
+
+/// Longest time for a handshake.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Requests that one connection may have open at a time.
+pub const STREAMS: u32 = 16_384;
+
+/// Bytes that a stream may have in flight; the limit carries backpressure to the sender.
+pub const STREAM_WINDOW: u32 = 64 * 1024;
+
+/// Bytes that a connection may have in flight.
+pub const CONNECTION_WINDOW: u32 = 8 << 20;
+
+/// Name that every certificate of the fleet carries.
+pub const SERVER_NAME: &str = "siskinbend";
+
+/// Protocol name and version in the TLS handshake.
+pub const PROTOCOL: &[u8] = b"siskinbend/1";
--- /dev/null
+++ b/crates/wire/src/transport.rs
@@ -0,0 +1,184 @@
+//! QUIC endpoints with mutual TLS.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use quinn::ClientConfig;
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::IdleTimeout;
+use quinn::ServerConfig;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use rustls::RootCertStore;
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::pem::PemObject;
+
+use crate::limits;
+
+/// Why the transport can't be set up or a peer can't be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum TransportError {
+    /// the file {0} can't be read as PEM: {1}
+    File(PathBuf, String),
+    /// the certificates or the key can't be used: {0}
+    Keys(String),
+    /// the address {0} can't be bound: {1}
+    Bind(SocketAddr, String),
+    /// the peer {0} can't be reached: {1}
+    Connect(SocketAddr, String),
+}
+
+impl std::error::Error for TransportError {}
+
+/// Certificates and private key of this process.
+#[derive(Debug)]
+pub struct Keys {
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Keys {
+    /// Reads the CA's certificates, this process's certificate chain and its private key.
+    ///
+    /// # Errors
+    ///
+    /// Returns the file that can't be read; the key's content is never part of an error.
+    pub fn load(ca: &Path, chain: &Path, key: &Path) -> Result<Self, TransportError> {
+        let mut roots = RootCertStore::empty();
+        for root in read_chain(ca)? {
+            roots
+                .add(root)
+                .map_err(|e| TransportError::File(ca.to_owned(), e.to_string()))?;
+        }
+        let file =
+            |e: rustls_pki_types::pem::Error| TransportError::File(key.to_owned(), e.to_string());
+        let private = PrivateKeyDer::from_pem_file(key).map_err(file)?;
+        Ok(Self {
+            roots: Arc::new(roots),
+            chain: read_chain(chain)?,
+            key: private,
+        })
+    }
+
+    /// Builds the configuration for accepting peers; it demands a certificate of the CA.
+    ///
+    /// # Errors
+    ///
+    /// Returns why certificate and key can't be used together.
+    pub fn to_server(&self) -> Result<ServerConfig, TransportError> {
+        let keys = |e: &dyn std::fmt::Display| TransportError::Keys(e.to_string());
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let roots = Arc::clone(&self.roots);
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider))
+            .build()
+            .map_err(|e| keys(&e))?;
+        let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| keys(&e))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|e| keys(&e))?;
+        tls.alpn_protocols = vec![limits::PROTOCOL.to_vec()];
+        let quic = QuicServerConfig::try_from(tls).map_err(|e| keys(&e))?;
+        let mut config = ServerConfig::with_crypto(Arc::new(quic));
+        config.transport_config(Arc::new(transport()));
+        Ok(config)
+    }
+
+    /// Builds the configuration for connecting to peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns why certificate and key can't be used together.
+    pub fn to_client(&self) -> Result<ClientConfig, TransportError> {
+        let keys = |e: &dyn std::fmt::Display| TransportError::Keys(e.to_string());
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| keys(&e))?
+            .with_root_certificates(Arc::clone(&self.roots))
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|e| keys(&e))?;
+        tls.alpn_protocols = vec![limits::PROTOCOL.to_vec()];
+        let quic = QuicClientConfig::try_from(tls).map_err(|e| keys(&e))?;
+        let mut config = ClientConfig::new(Arc::new(quic));
+        config.transport_config(Arc::new(transport()));
+        Ok(config)
+    }
+}
+
+fn read_chain(path: &Path) -> Result<Vec<CertificateDer<'static>>, TransportError> {
+    let file =
+        |e: rustls_pki_types::pem::Error| TransportError::File(path.to_owned(), e.to_string());
+    let chain: Result<Vec<_>, _> = CertificateDer::pem_file_iter(path).map_err(file)?.collect();
+    let chain = chain.map_err(file)?;
+    if chain.is_empty() {
+        return Err(TransportError::File(
+            path.to_owned(),
+            "it holds no certificate".to_owned(),
+        ));
+    }
+    Ok(chain)
+}
+
+fn transport() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    let idle = u32::try_from(limits::IDLE_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    config
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(idle))))
+        .keep_alive_interval(Some(limits::KEEP_ALIVE))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits::STREAMS))
+        .stream_receive_window(VarInt::from_u32(limits::STREAM_WINDOW))
+        .receive_window(VarInt::from_u32(limits::CONNECTION_WINDOW));
+    config
+}
+
+/// Binds an endpoint that accepts peers and can connect to others.
+///
+/// # Errors
+///
+/// Returns why the keys can't be used or the address can't be bound.
+pub fn listen(address: SocketAddr, keys: &Keys) -> Result<Endpoint, TransportError> {
+    let mut endpoint = Endpoint::server(keys.to_server()?, address)
+        .map_err(|e| TransportError::Bind(address, e.to_string()))?;
+    endpoint.set_default_client_config(keys.to_client()?);
+    Ok(endpoint)
+}
+
+/// Binds an endpoint that only connects to peers.
+///
+/// # Errors
+///
+/// Returns why the keys can't be used or no port is free.
+pub fn dial_only(address: SocketAddr, keys: &Keys) -> Result<Endpoint, TransportError> {
+    let mut endpoint =
+        Endpoint::client(address).map_err(|e| TransportError::Bind(address, e.to_string()))?;
+    endpoint.set_default_client_config(keys.to_client()?);
+    Ok(endpoint)
+}
+
+/// Connects to a peer within [`limits::CONNECT_TIMEOUT`].
+///
+/// # Errors
+///
+/// Returns why the peer can't be reached or isn't trusted.
+pub async fn connect(endpoint: &Endpoint, to: SocketAddr) -> Result<Connection, TransportError> {
+    let failed = |e: &dyn std::fmt::Display| TransportError::Connect(to, e.to_string());
+    let pending = endpoint
+        .connect(to, limits::SERVER_NAME)
+        .map_err(|e| failed(&e))?;
+    match tokio::time::timeout(limits::CONNECT_TIMEOUT, pending).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(error)) => Err(failed(&error)),
+        Err(_) => Err(failed(&"the handshake timed out")),
+    }
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,231 @@
+//! The agent: stands beside one backend server and decides what runs there.
+
+mod attempt;
+mod backend;
+mod core;
+mod peer;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use quinn::Endpoint;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use siskinbend_document::Document;
+use siskinbend_types::Incarnation;
+use siskinbend_wire::Dispatch;
+use siskinbend_wire::Hello;
+use siskinbend_wire::Keys;
+use siskinbend_wire::Status;
+use siskinbend_wire::TransportError;
+use siskinbend_wire::transport;
+
+use self::backend::Backend;
+use self::core::Core;
+use crate::admin;
+use crate::admin::Pages;
+use crate::admin::ProcessStatus;
+use crate::clock::Clock;
+use crate::document;
+use crate::document::Active;
+use crate::limits;
+use crate::metrics::Metrics;
+use crate::settings;
+use crate::shutdown::Shutdown;
+
+/// Why an agent can't start.
+#[derive(Debug, Display)]
+pub enum AgentError {
+    /// {0}
+    Transport(TransportError),
+    /// {0}
+    Document(document::LoadError),
+    /// the admin address can't be bound: {0}
+    Admin(std::io::Error),
+    /// signals can't be watched: {0}
+    Signals(std::io::Error),
+}
+
+/// State of an agent process.
+pub(crate) struct Agent {
+    pub(crate) settings: settings::Agent,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) metrics: Metrics,
+    pub(crate) shutdown: Shutdown,
+    pub(crate) core: Core,
+    pub(crate) backend: Backend,
+    pub(crate) active: Active,
+    /// Wakes the tasks that push reports to the entries.
+    pub(crate) changed: watch::Sender<()>,
+}
+
+impl Agent {
+    fn new(settings: settings::Agent, active: Active) -> Arc<Self> {
+        let clock = Clock::start();
+        let incarnation = Incarnation(rand::random());
+        let core = Core::new(incarnation, clock.now());
+        let backend = Backend::new(settings.backend.clone());
+        let agent = Self {
+            settings,
+            clock,
+            incarnation,
+            metrics: Metrics::default(),
+            shutdown: Shutdown::default(),
+            core,
+            backend,
+            active,
+            changed: watch::Sender::new(()),
+        };
+        if let Some(document) = agent.active.document() {
+            agent.apply(&document);
+        }
+        Arc::new(agent)
+    }
+
+    /// Puts the limits of a document in force.
+    fn apply(&self, document: &Document) {
+        if let Some(service) = document.find_service(self.settings.service.as_str()) {
+            self.core.configure(service, &document.organisations);
+        }
+        if let Some(newest) = self.active.newest() {
+            self.metrics
+                .version
+                .set(i64::try_from(newest.version.0).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// The state that rides on answers.
+    pub(crate) fn status(&self) -> Status {
+        let now = self.clock.now();
+        self.core
+            .status(self.incarnation, self.active.newest(), now)
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            agent: self.settings.common.name.clone(),
+            zone: self.settings.common.zone.clone(),
+            service: self.settings.service.clone(),
+            status: self.status(),
+        }
+    }
+
+    /// Largest request body that the document allows for a dispatch.
+    pub(crate) fn body_limit(&self, dispatch: &Dispatch) -> usize {
+        let limit = self.active.document().and_then(|document| {
+            let service = document.find_service(self.settings.service.as_str())?;
+            let path = dispatch.path.split('?').next()?.strip_prefix("/v1")?;
+            Some(service.find_route(&dispatch.method, path)?.body_limit.0)
+        });
+        limit
+            .and_then(|bytes| usize::try_from(bytes).ok())
+            .unwrap_or(0)
+    }
+
+    fn drain_time(&self) -> Duration {
+        self.active
+            .document()
+            .and_then(|d| {
+                d.find_service(self.settings.service.as_str())
+                    .map(|s| s.drain_ms)
+            })
+            .map_or(limits::ENTRY_DRAIN, Duration::from_millis)
+    }
+}
+
+impl Pages for Agent {
+    fn is_ready(&self) -> bool {
+        !self.shutdown.is_draining() && self.active.newest().is_some()
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let status = Agent::status(self);
+        let newest = status.newest;
+        ProcessStatus {
+            name: self.settings.common.name.to_string(),
+            role: "agent",
+            zone: self.settings.common.zone.to_string(),
+            incarnation: self.incarnation.to_string(),
+            draining: status.draining,
+            version: newest.map(|n| n.version.0),
+            digest: newest.map(|n| n.digest.to_string()),
+            notes: vec![format!(
+                "service={} running={} queued={} slots={} window={}",
+                self.settings.service,
+                status.load.running,
+                status.load.queued,
+                status.load.slots,
+                status.window,
+            )],
+        }
+    }
+
+    fn shutdown(&self) -> &Shutdown {
+        &self.shutdown
+    }
+}
+
+/// Runs an agent until it has drained.
+///
+/// # Errors
+///
+/// Returns why it can't start.
+pub async fn run(settings: settings::Agent) -> Result<(), AgentError> {
+    let common = settings.common.clone();
+    let active = Active::start(&common).map_err(AgentError::Document)?;
+    let keys = Keys::load(&common.ca, &common.cert, &common.key).map_err(AgentError::Transport)?;
+    let endpoint = transport::listen(common.listen, &keys).map_err(AgentError::Transport)?;
+    let agent = Agent::new(settings, active);
+    agent
+        .shutdown
+        .watch_signals()
+        .map_err(AgentError::Signals)?;
+    let admin = admin::serve(common.admin, Arc::<Agent>::clone(&agent))
+        .await
+        .map_err(AgentError::Admin)?;
+    log::info!(
+        name:% = common.name, service:% = agent.settings.service, listen:% = common.listen,
+        admin:% = admin, incarnation:% = agent.incarnation;
+        "agent_started"
+    );
+    let tasks = TaskTracker::new();
+    tasks.spawn(run_ticks(Arc::clone(&agent)));
+    tokio::spawn(peer::accept(
+        Arc::clone(&agent),
+        endpoint.clone(),
+        tasks.clone(),
+    ));
+    agent.shutdown.wait().await;
+    drain(&agent, &endpoint, &tasks).await;
+    Ok(())
+}
+
+async fn run_ticks(agent: Arc<Agent>) {
+    let mut ticks = tokio::time::interval(limits::TICK_INTERVAL);
+    while !(agent.shutdown.is_draining() && agent.core.is_idle()) {
+        ticks.tick().await;
+        agent.core.tick(agent.clock.now());
+    }
+}
+
+async fn drain(agent: &Agent, endpoint: &Endpoint, tasks: &TaskTracker) {
+    agent.core.drain();
+    agent.changed.send_replace(());
+    tasks.close();
+    let limit = agent.drain_time();
+    if tokio::time::timeout(limit, tasks.wait()).await.is_err() {
+        let left = agent.status().load;
+        log::warn!(running = left.running, queued = left.queued; "drain_time_exceeded");
+    }
+    endpoint.close(quinn::VarInt::from_u32(0), b"drained");
+    // The peers get the close frame unless the network is down; then there is nothing to wait for.
+    let _ = tokio::time::timeout(limits::CONTROL_TIMEOUT, endpoint.wait_idle()).await;
+    log::info!(name:% = agent.settings.common.name; "agent_drained");
+}
--- /dev/null
+++ b/src/agent/peer.rs
@@ -0,0 +1,95 @@
+//! Accepts peers and their streams.
+
+use std::sync::Arc;
+
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::Incoming;
+use quinn::RecvStream;
+use quinn::SendStream;
+use tokio_util::task::TaskTracker;
+
+use siskinbend_types::RequestId;
+use siskinbend_wire::FrameError;
+use siskinbend_wire::Message;
+use siskinbend_wire::Receiver;
+use siskinbend_wire::Sender;
+
+use super::Agent;
+use super::attempt;
+
+/// Id of frames that belong to no request.
+const NO_REQUEST: RequestId = RequestId(0);
+
+/// Accepts connections until the endpoint is closed.
+pub(super) async fn accept(agent: Arc<Agent>, endpoint: Endpoint, tasks: TaskTracker) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(serve(Arc::clone(&agent), incoming, tasks.clone()));
+    }
+}
+
+async fn serve(agent: Arc<Agent>, incoming: Incoming, tasks: TaskTracker) {
+    let from = incoming.remote_address();
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::warn!(peer:% = from, error:% = error; "peer_rejected");
+            return;
+        }
+    };
+    log::debug!(peer:% = from; "peer_connected");
+    let announcing = tokio::spawn(announce(Arc::clone(&agent), connection.clone()));
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        tasks.spawn(serve_stream(Arc::clone(&agent), send, receive));
+    }
+    announcing.abort();
+    log::debug!(peer:% = from; "peer_left");
+}
+
+/// Introduces the agent and pushes its status whenever it changes in a way that can't wait.
+async fn announce(agent: Arc<Agent>, connection: Connection) -> Result<(), FrameError> {
+    let mut changed = agent.changed.subscribe();
+    let stream = connection.open_uni().await.map_err(|_| FrameError::Lost)?;
+    let mut sender = Sender::new(NO_REQUEST, stream);
+    sender.send(&[Message::Hello(agent.hello())]).await?;
+    while changed.changed().await.is_ok() {
+        sender.send(&[Message::Report(agent.status())]).await?;
+    }
+    Ok(())
+}
+
+async fn serve_stream(agent: Arc<Agent>, send: SendStream, receive: RecvStream) {
+    let mut receiver = Receiver::new(None, receive);
+    let first = match receiver.receive().await {
+        Ok(message) => message,
+        Err(error) => {
+            log::debug!(error:% = error; "stream_rejected");
+            return;
+        }
+    };
+    let id = receiver.id().unwrap_or(NO_REQUEST);
+    let mut sender = Sender::new(id, send);
+    let now = agent.clock.now();
+    let answer = match first {
+        Message::Dispatch(dispatch) => {
+            attempt::serve(&agent, id, dispatch, sender, receiver).await;
+            return;
+        }
+        Message::Cancel(attempt) if attempt.id == id => {
+            Message::CancelState(agent.core.cancel(&attempt, now))
+        }
+        Message::Lookup(attempt, owner) if attempt.id == id => {
+            Message::Found(agent.core.lookup(&attempt, &owner, now))
+        }
+        Message::Probe(_) => Message::Report(agent.status()),
+        _ => {
+            log::warn!(request:% = id; "unexpected_frame");
+            sender.reset();
+            return;
+        }
+    };
+    // A lost connection leaves nothing to do; the peer asks again.
+    if sender.send(&[answer]).await.is_ok() {
+        sender.finish().await;
+    }
+}
--- /dev/null
+++ b/src/document.rs
@@ -0,0 +1,98 @@
+//! The document in force in this process.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use displaydoc::Display;
+
+use siskinbend_document::Document;
+use siskinbend_document::Findings;
+use siskinbend_types::Version;
+use siskinbend_wire::Newest;
+
+use crate::settings::Common;
+
+/// Why a document can't be used.
+#[derive(Debug, Display)]
+pub enum LoadError {
+    /// the document {0} can't be read: {1}
+    File(PathBuf, std::io::Error),
+    /// the document {0} has mistakes: {1}
+    Findings(PathBuf, Findings),
+}
+
+/// A document with its version.
+#[derive(Debug)]
+struct Loaded {
+    document: Arc<Document>,
+    newest: Newest,
+}
+
+/// Holds the document in force; requests keep the one that they began with.
+#[derive(Debug, Default)]
+pub struct Active {
+    loaded: RwLock<Option<Loaded>>,
+}
+
+impl Active {
+    /// Reads the document file of the settings, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the file can't be used.
+    pub fn start(settings: &Common) -> Result<Self, LoadError> {
+        let active = Self::default();
+        if let Some(path) = &settings.document {
+            let text = read_file(path)?;
+            let document = Document::parse(&text)
+                .map_err(|findings| LoadError::Findings(path.clone(), findings))?;
+            let newest = Newest {
+                version: Version(1),
+                digest: Document::digest(&text),
+            };
+            active.put(document, newest);
+        }
+        Ok(active)
+    }
+
+    /// Puts a newer document in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the version is not higher than the one in force: a version never reverts.
+    pub fn put(&self, document: Document, newest: Newest) {
+        let mut loaded = self.loaded.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(old) = &*loaded {
+            assert!(
+                newest.version > old.newest.version,
+                "document version {} would replace version {}",
+                newest.version,
+                old.newest.version,
+            );
+        }
+        *loaded = Some(Loaded {
+            document: Arc::new(document),
+            newest,
+        });
+    }
+
+    /// The document in force.
+    pub fn document(&self) -> Option<Arc<Document>> {
+        let loaded = self.loaded.read().unwrap_or_else(PoisonError::into_inner);
+        loaded.as_ref().map(|l| Arc::clone(&l.document))
+    }
+
+    /// Version and digest of the document in force.
+    pub fn newest(&self) -> Option<Newest> {
+        let loaded = self.loaded.read().unwrap_or_else(PoisonError::into_inner);
+        loaded.as_ref().map(|l| l.newest)
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, LoadError> {
+    let error = |e| LoadError::File(path.to_owned(), e);
+    std::fs::read_to_string(path).map_err(error)
+}
--- /dev/null
+++ b/src/entry/driver.rs
@@ -0,0 +1,448 @@
+//! Carries out the actions of one call and feeds it with what happens.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use quinn::Connection;
+use smol_str::SmolStr;
+
+use siskinbend_request::Action;
+use siskinbend_request::AttemptRef;
+use siskinbend_request::Call;
+use siskinbend_request::Event;
+use siskinbend_request::Spec;
+use siskinbend_request::StoredAnswer;
+use siskinbend_request::Target;
+use siskinbend_routing::Done;
+use siskinbend_routing::Wish;
+use siskinbend_types::AgentId;
+use siskinbend_types::Attempt;
+use siskinbend_types::Outcome;
+use siskinbend_types::Priority;
+use siskinbend_types::Reason;
+use siskinbend_types::Time;
+use siskinbend_wire::Dispatch;
+use siskinbend_wire::FrameError;
+use siskinbend_wire::Head;
+use siskinbend_wire::Message;
+use siskinbend_wire::Receiver;
+use siskinbend_wire::Sender;
+use siskinbend_wire::Status;
+
+use super::Entry;
+use super::answer::Answer;
+use super::link;
+use super::problem;
+use crate::limits;
+
+/// What is forwarded to the backend server.
+pub(super) struct Forward {
+    pub(super) method: SmolStr,
+    pub(super) path: SmolStr,
+    pub(super) content_type: SmolStr,
+    pub(super) priority: Priority,
+    /// Hash of the prompt's start, for model services.
+    pub(super) prefix: Option<u64>,
+    pub(super) body: Bytes,
+}
+
+/// The attempt whose answer is awaited.
+struct Open {
+    attempt: Attempt,
+    agent: AgentId,
+    sender: Sender,
+    receiver: Receiver,
+    sent: Time,
+    first: Option<Time>,
+    chunks: u64,
+}
+
+/// A part of the answer that the call decides on.
+enum Held {
+    Nothing,
+    Head(Head),
+    Chunk(Bytes),
+}
+
+/// One call with its I/O.
+struct Driver {
+    entry: Arc<Entry>,
+    spec: Spec,
+    forward: Forward,
+    call: Call,
+    answer: Answer,
+    events: VecDeque<Event>,
+    open: Option<Open>,
+    /// A chosen agent that counts as busy although nothing was sent yet.
+    chosen: Option<AgentId>,
+    timer: Option<Time>,
+    held: Held,
+    /// The caller's absence was reported to the call.
+    gone: bool,
+    started: Time,
+    /// Why the last attempt ended, for the retry counter.
+    failed: Option<Reason>,
+}
+
+/// Drives a call from its start to its outcome.
+pub(super) async fn drive(entry: Arc<Entry>, spec: Spec, forward: Forward, answer: Answer) {
+    entry.metrics.inflight.inc();
+    let started = entry.clock.now();
+    let mut driver = Driver {
+        call: Call::new(spec.clone()),
+        entry,
+        spec,
+        forward,
+        answer,
+        events: VecDeque::from([Event::Start]),
+        open: None,
+        chosen: None,
+        timer: None,
+        held: Held::Nothing,
+        gone: false,
+        started,
+        failed: None,
+    };
+    driver.run().await;
+    driver.release();
+    driver.entry.metrics.inflight.dec();
+}
+
+impl Driver {
+    async fn run(&mut self) {
+        while !self.call.is_done() {
+            let event = match self.events.pop_front() {
+                Some(event) => event,
+                None => self.wait().await,
+            };
+            let now = self.entry.clock.now();
+            let actions = self
+                .entry
+                .fleet
+                .handle(&self.spec.service, &mut self.call, event, now);
+            for action in actions {
+                self.act(action).await;
+            }
+        }
+    }
+
+    /// Waits for the next thing that happens.
+    async fn wait(&mut self) -> Event {
+        let timer = self.timer.map(|at| self.entry.clock.to_instant(at));
+        let message = {
+            let open = self.open.as_mut();
+            tokio::select! {
+                message = receive(open) => message,
+                () = sleep_until(timer) => {
+                    self.timer = None;
+                    return Event::Timer;
+                }
+                () = self.answer.wait_gone(), if !self.gone => {
+                    self.gone = true;
+                    return Event::CallerGone;
+                }
+            }
+        };
+        self.read(message)
+    }
+
+    /// Turns a message of the open attempt into an event.
+    fn read(&mut self, message: Result<Message, FrameError>) -> Event {
+        let now = self.entry.clock.now();
+        let Some(open) = self.open.as_mut() else {
+            return Event::Timer;
+        };
+        let attempt = open.attempt;
+        match message {
+            Ok(Message::Accepted(status)) => {
+                self.observe(&status, now);
+                Event::Accepted(attempt)
+            }
+            Ok(Message::Refused(reason, status)) => {
+                self.observe(&status, now);
+                self.failed = Some(reason);
+                self.close(Done::Refused(reason));
+                Event::Refused(attempt, reason)
+            }
+            Ok(Message::Head(head)) => {
+                open.first.get_or_insert(now);
+                self.held = Held::Head(head);
+                Event::Head(attempt)
+            }
+            Ok(Message::Chunk(bytes)) => {
+                let index = open.chunks;
+                open.chunks += 1;
+                self.held = Held::Chunk(bytes);
+                Event::Chunk(attempt, index)
+            }
+            Ok(Message::End(status)) => {
+                let chunks = open.chunks;
+                let first_token = open.first.unwrap_or(now).since(open.sent);
+                self.observe(&status, now);
+                self.close(Done::Ok { first_token });
+                Event::End(attempt, chunks)
+            }
+            Ok(Message::Cut(reason)) => {
+                self.failed = Some(reason);
+                self.close(Done::Failed);
+                Event::Cut(attempt, reason)
+            }
+            Ok(_) => self.lose(attempt, Reason::Protocol),
+            Err(FrameError::Lost | FrameError::Truncated) => self.lose(attempt, Reason::LinkLost),
+            Err(error) => {
+                log::warn!(request:% = self.spec.id, error:% = error; "protocol_error");
+                self.lose(attempt, Reason::Protocol)
+            }
+        }
+    }
+
+    fn lose(&mut self, attempt: Attempt, reason: Reason) -> Event {
+        self.failed = Some(reason);
+        self.close(Done::Failed);
+        Event::LinkLost(attempt)
+    }
+
+    fn observe(&self, status: &Status, now: Time) {
+        if let Some(open) = &self.open {
+            self.entry.fleet.observe(&open.agent, status, now);
+        }
+    }
+
+    /// Stops listening to the open attempt.
+    fn close(&mut self, done: Done) {
+        if let Some(mut open) = self.open.take() {
+            let now = self.entry.clock.now();
+            self.entry
+                .fleet
+                .note_done(&self.spec.service, &open.agent, done, now);
+            if !matches!(done, Done::Ok { .. }) {
+                open.receiver.stop();
+                open.sender.reset();
+            }
+        }
+    }
+
+    /// Gives back everything that the call still holds.
+    fn release(&mut self) {
+        let done = if self.gone {
+            Done::Cancelled
+        } else {
+            Done::Stalled
+        };
+        self.close(done);
+        if let Some(agent) = self.chosen.take() {
+            let now = self.entry.clock.now();
+            self.entry
+                .fleet
+                .note_done(&self.spec.service, &agent, Done::Cancelled, now);
+        }
+    }
+
+    async fn act(&mut self, action: Action) {
+        match action {
+            Action::Choose { avoid } => self.choose(avoid),
+            Action::Dispatch { attempt, target } => self.dispatch(attempt, target).await,
+            Action::Cancel { attempt, target } => self.cancel(attempt, target).await,
+            Action::PassHead | Action::PassChunk => self.pass().await,
+            Action::PassEnd => self.end().await,
+            Action::Replay(stored) => self.replay(&stored),
+            Action::Fail { outcome, reason } => self.fail(outcome, reason).await,
+            Action::SetTimer(at) => self.timer = Some(at),
+            Action::WriteClaim { .. } => self.events.push_back(Event::ClaimUnavailable),
+            Action::Lookup(_) => self.events.push_back(Event::LookupFailed),
+            Action::RecordAnswer { .. } => {}
+        }
+    }
+
+    fn choose(&mut self, avoid: Vec<AgentId>) {
+        self.release();
+        let wish = Wish {
+            prefix: self.forward.prefix,
+            avoid,
+        };
+        let now = self.entry.clock.now();
+        let event = match self.entry.fleet.choose(&self.spec.service, &wish, now) {
+            Ok(target) => {
+                self.chosen = Some(target.agent.clone());
+                Event::Chosen(target)
+            }
+            Err(reason) => Event::NoTarget(reason),
+        };
+        self.events.push_back(event);
+    }
+
+    async fn dispatch(&mut self, attempt: Attempt, target: Target) {
+        if let Some(reason) = self.failed.take() {
+            self.entry.metrics.count_retry(reason);
+            log::info!(
+                request:% = self.spec.id, attempt:% = attempt, agent:% = target.agent,
+                reason:% = reason;
+                "attempt_retried"
+            );
+        }
+        let connection = self.entry.fleet.find_connection(&target.agent);
+        let stream = match connection {
+            Some(connection) => connection.open_bi().await.ok(),
+            None => None,
+        };
+        let Some((send, receive)) = stream else {
+            self.failed = Some(Reason::LinkLost);
+            self.events.push_back(Event::NotSent(attempt));
+            return;
+        };
+        let mut sender = Sender::new(self.spec.id, send);
+        let messages = self.build_dispatch(attempt, &target);
+        let sent = sender.send(&messages).await;
+        // The agent counts as busy from the choice on; the open attempt takes that over.
+        self.chosen = None;
+        let now = self.entry.clock.now();
+        self.open = Some(Open {
+            attempt,
+            agent: target.agent,
+            sender,
+            receiver: Receiver::new(Some(self.spec.id), receive),
+            sent: now,
+            first: None,
+            chunks: 0,
+        });
+        if sent.is_err() {
+            let event = self.lose(attempt, Reason::LinkLost);
+            self.events.push_back(event);
+        }
+    }
+
+    fn build_dispatch(&self, attempt: Attempt, target: &Target) -> Vec<Message> {
+        let left = self.spec.deadline.since(self.entry.clock.now());
+        let mut messages = vec![Message::Dispatch(Dispatch {
+            attempt,
+            incarnation: target.incarnation,
+            window: target.window,
+            organisation: self.spec.organisation.clone(),
+            priority: self.forward.priority,
+            deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            idempotent: self.spec.idempotent,
+            method: self.forward.method.clone(),
+            path: self.forward.path.clone(),
+            content_type: self.forward.content_type.clone(),
+        })];
+        let mut rest = self.forward.body.clone();
+        while !rest.is_empty() {
+            messages.push(Message::Body(
+                rest.split_to(rest.len().min(limits::BODY_FRAME_BYTES)),
+            ));
+        }
+        messages.push(Message::BodyEnd);
+        messages
+    }
+
+    /// Cancels an attempt; a call that is done doesn't wait for the agent's word.
+    async fn cancel(&mut self, attempt: Attempt, target: Target) {
+        self.failed = Some(Reason::Stalled);
+        self.close(if self.gone {
+            Done::Cancelled
+        } else {
+            Done::Stalled
+        });
+        let Some(connection) = self.entry.fleet.find_connection(&target.agent) else {
+            return;
+        };
+        let named = AttemptRef {
+            id: self.spec.id,
+            attempt,
+            incarnation: target.incarnation,
+            window: target.window,
+        };
+        if self.call.is_done() {
+            self.entry.requests.spawn(async move {
+                send_cancel(&connection, named).await;
+            });
+        } else if let Some(event) = send_cancel(&connection, named).await {
+            self.events.push_back(event);
+        }
+    }
+
+    async fn pass(&mut self) {
+        match std::mem::replace(&mut self.held, Held::Nothing) {
+            Held::Head(head) => {
+                let latency = self.entry.clock.now().since(self.started);
+                self.entry.metrics.latency.observe(latency.as_secs_f64());
+                self.answer.send_head(&head);
+            }
+            Held::Chunk(bytes) => {
+                // A caller that never reads must not hold the request beyond its deadline.
+                let deadline = self.entry.clock.to_instant(self.spec.deadline);
+                let sending = self.answer.send_chunk(bytes);
+                if tokio::time::timeout_at(deadline, sending).await.is_err() {
+                    self.events.push_back(Event::CallerGone);
+                }
+            }
+            Held::Nothing => {}
+        }
+    }
+
+    async fn end(&mut self) {
+        self.answer.send_end().await;
+        self.note_outcome(Outcome::Answered, None);
+    }
+
+    fn replay(&mut self, stored: &StoredAnswer) {
+        let mut answer = http::Response::new(axum::body::Body::from(stored.body.clone()));
+        if let Ok(status) = http::StatusCode::from_u16(stored.status) {
+            *answer.status_mut() = status;
+        }
+        if let Ok(value) = http::HeaderValue::from_str(&stored.content_type) {
+            answer
+                .headers_mut()
+                .insert(http::header::CONTENT_TYPE, value);
+        }
+        self.answer.send_whole(answer);
+        self.note_outcome(Outcome::Answered, None);
+    }
+
+    async fn fail(&mut self, outcome: Outcome, reason: Reason) {
+        if self.answer.has_begun() {
+            self.answer.cut(reason).await;
+        } else {
+            self.answer
+                .send_whole(problem::build(self.spec.id, outcome, reason));
+        }
+        self.entry.metrics.count_refusal(reason);
+        self.note_outcome(outcome, Some(reason));
+    }
+
+    fn note_outcome(&self, outcome: Outcome, reason: Option<Reason>) {
+        self.entry
+            .metrics
+            .count_request(self.spec.service.as_str(), outcome);
+        let latency = self.entry.clock.now().since(self.started);
+        log::debug!(
+            request:% = self.spec.id, organisation:% = self.spec.organisation,
+            service:% = self.spec.service, outcome:% = outcome,
+            reason = reason.map_or("none", Reason::as_str), latency_us = latency.as_micros();
+            "request_ended"
+        );
+    }
+}
+
+async fn send_cancel(connection: &Connection, attempt: AttemptRef) -> Option<Event> {
+    match link::ask(connection, attempt.id, &Message::Cancel(attempt)).await {
+        Some(Message::CancelState(state)) => Some(Event::Cancelled(attempt.attempt, state)),
+        _ => None,
+    }
+}
+
+/// Waits for a message of the open attempt, or forever if there is none.
+async fn receive(open: Option<&mut Open>) -> Result<Message, FrameError> {
+    match open {
+        Some(open) => open.receiver.receive().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/src/entry/fleet.rs
@@ -0,0 +1,200 @@
+//! The agents that this entry knows, by service, and the connections to them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use quinn::Connection;
+use quinn::Endpoint;
+
+use siskinbend_request::Action;
+use siskinbend_request::Call;
+use siskinbend_request::Event;
+use siskinbend_request::RetryBudget;
+use siskinbend_request::Target;
+use siskinbend_routing::Done;
+use siskinbend_routing::Picker;
+use siskinbend_routing::Report;
+use siskinbend_routing::Seen;
+use siskinbend_routing::Wish;
+use siskinbend_routing::picker;
+use siskinbend_types::AgentId;
+use siskinbend_types::Reason;
+use siskinbend_types::ServiceName;
+use siskinbend_types::Time;
+use siskinbend_types::Zone;
+use siskinbend_wire::Load;
+use siskinbend_wire::Status;
+
+use crate::limits;
+
+/// Replicas and retry budget of one service.
+struct Pool {
+    picker: Picker,
+    budget: RetryBudget,
+}
+
+/// A connected agent.
+#[derive(Debug, Clone)]
+struct Link {
+    connection: Connection,
+    service: ServiceName,
+    zone: Zone,
+}
+
+/// All agents that this entry is connected to.
+pub(crate) struct Fleet {
+    pub(crate) endpoint: Endpoint,
+    zone: Zone,
+    pools: Mutex<BTreeMap<ServiceName, Pool>>,
+    links: Mutex<HashMap<AgentId, Link>>,
+}
+
+impl Fleet {
+    pub(crate) fn new(endpoint: Endpoint, zone: Zone) -> Self {
+        Self {
+            endpoint,
+            zone,
+            pools: Mutex::new(BTreeMap::new()),
+            links: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// A panic while the lock is held is a broken invariant; the process must not go on.
+    fn lock<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+        let fatal = |_: PoisonError<_>| -> MutexGuard<'_, T> {
+            log::error!("invariant_broken");
+            std::process::abort()
+        };
+        lock.lock().unwrap_or_else(fatal)
+    }
+
+    fn with_pool<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Pool) -> T) -> T {
+        let mut pools = Self::lock(&self.pools);
+        if !pools.contains_key(service) {
+            let picker = Picker::new(picker::Settings::default(), self.zone.clone());
+            let pool = Pool {
+                picker,
+                budget: RetryBudget::new(limits::RETRY_BURST),
+            };
+            pools.insert(service.clone(), pool);
+        }
+        act(pools.get_mut(service).expect("the pool was inserted above"))
+    }
+
+    /// Adds a connected agent.
+    pub(crate) fn add(
+        &self,
+        agent: &AgentId,
+        connection: Connection,
+        service: ServiceName,
+        zone: Zone,
+    ) {
+        let link = Link {
+            connection,
+            service,
+            zone,
+        };
+        Self::lock(&self.links).insert(agent.clone(), link);
+    }
+
+    /// Forgets an agent whose connection is lost.
+    pub(crate) fn remove(&self, agent: &AgentId) {
+        if let Some(link) = Self::lock(&self.links).remove(agent) {
+            self.with_pool(&link.service, |pool| pool.picker.remove(agent));
+        }
+    }
+
+    /// The connection to an agent.
+    pub(crate) fn find_connection(&self, agent: &AgentId) -> Option<Connection> {
+        Self::lock(&self.links)
+            .get(agent)
+            .map(|link| link.connection.clone())
+    }
+
+    /// Takes in the status of an agent.
+    pub(crate) fn observe(&self, agent: &AgentId, status: &Status, now: Time) {
+        let Some(link) = Self::lock(&self.links).get(agent).cloned() else {
+            return;
+        };
+        let seen = Seen {
+            incarnation: status.incarnation,
+            window: status.window,
+            zone: link.zone,
+            draining: status.draining,
+            report: to_report(&status.load),
+            age: Duration::ZERO,
+        };
+        self.with_pool(&link.service, |pool| pool.picker.observe(agent, seen, now));
+    }
+
+    /// Chooses a replica and counts the attempt as sent to it.
+    pub(crate) fn choose(
+        &self,
+        service: &ServiceName,
+        wish: &Wish,
+        now: Time,
+    ) -> Result<Target, Reason> {
+        self.with_pool(service, |pool| {
+            let choice = pool.picker.choose(wish, now, &mut rand::rng())?;
+            pool.picker.sent(&choice.agent, now);
+            Ok(Target {
+                agent: choice.agent,
+                incarnation: choice.incarnation,
+                window: choice.window,
+            })
+        })
+    }
+
+    /// Tells the replica choice how an attempt ended.
+    pub(crate) fn note_done(&self, service: &ServiceName, agent: &AgentId, done: Done, now: Time) {
+        self.with_pool(service, |pool| pool.picker.done(agent, done, now));
+    }
+
+    /// Hands an event to a call, with the retry budget of its service.
+    pub(crate) fn handle(
+        &self,
+        service: &ServiceName,
+        call: &mut Call,
+        event: Event,
+        now: Time,
+    ) -> Vec<Action> {
+        self.with_pool(service, |pool| call.handle(event, now, &mut pool.budget))
+    }
+
+    /// The agents that need a probe now.
+    pub(crate) fn find_probes(&self, now: Time) -> Vec<AgentId> {
+        let mut pools = Self::lock(&self.pools);
+        pools
+            .values_mut()
+            .flat_map(|pool| pool.picker.to_probe(now))
+            .collect()
+    }
+
+    /// One line for each replica: why it is or isn't chosen.
+    pub(crate) fn explain(&self, now: Time) -> Vec<String> {
+        let pools = Self::lock(&self.pools);
+        let lines = pools.iter().flat_map(|(service, pool)| {
+            pool.picker.explain(now).into_iter().map(move |e| {
+                format!(
+                    "service={service} agent={} zone={} load={:.2} outstanding={} heard_ms={}: {}",
+                    e.agent, e.zone, e.load, e.outstanding, e.heard_ms, e.verdict
+                )
+            })
+        });
+        lines.collect()
+    }
+}
+
+fn to_report(load: &Load) -> Report {
+    Report {
+        running: load.running,
+        queued: load.queued,
+        slots: load.slots,
+        hold: Duration::from_millis(u64::from(load.hold_ms)),
+        idle: Duration::from_millis(u64::from(load.idle_ms)),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,13 @@
 //! The siskinbend load balancer as a library; `main.rs` only calls it.
+
+pub mod admin;
+pub mod agent;
+pub mod clock;
+pub mod document;
+pub mod entry;
+pub mod limits;
+pub mod logs;
+pub mod metrics;
+pub mod runtime;
+pub mod settings;
+pub mod shutdown;
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,67 @@
+//! Limits and intervals of the processes.
+
+use std::time::Duration;
+
+/// Longest time for a caller to send the head of a request.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time for a caller to send the body of a request.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Most header bytes of a request, for both HTTP versions.
+pub const HEAD_BYTES: usize = 16 * 1024;
+
+/// Connections of callers that an entry holds open at a time.
+pub const CALLER_CONNECTIONS: usize = 20_000;
+
+/// Longest idempotency key in bytes.
+pub const KEY_BYTES: usize = 256;
+
+/// Body bytes that one frame carries.
+pub const BODY_FRAME_BYTES: usize = 256 * 1024;
+
+/// Parts of an answer that wait for a slow caller before the agent is held back.
+pub const ANSWER_PARTS: usize = 8;
+
+/// Longest time for an agent to answer a cancel, a lookup or a probe.
+pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which an entry looks for agents that need a probe.
+pub const PROBE_TICK: Duration = Duration::from_millis(200);
+
+/// First pause before an entry connects to an agent again.
+pub const RECONNECT_MIN: Duration = Duration::from_millis(100);
+
+/// Longest pause before an entry connects to an agent again.
+pub const RECONNECT_MAX: Duration = Duration::from_secs(5);
+
+/// Interval at which an agent moves its dispatch window and drops expired work.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time that a draining entry waits for its requests.
+pub const ENTRY_DRAIN: Duration = Duration::from_secs(60);
+
+/// Time in which a draining entry still accepts connections, so that the platform's balancer
+/// sees `/ready` fail before connections are refused.
+pub const READY_GRACE: Duration = Duration::from_secs(2);
+
+/// Longest answer of an idempotency key that is kept, in bytes.
+pub const KEPT_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Most attempts of one request.
+pub const ATTEMPTS: u32 = 4;
+
+/// Longest deadline in milliseconds that a caller may ask for.
+pub const DEADLINE_MS: u32 = 3_600_000;
+
+/// Requests that one HTTP/2 connection of a caller may have open at a time.
+pub const CALLER_STREAMS: u32 = 256;
+
+/// Interval of pings on HTTP/2 connections of callers.
+pub const CALLER_PING: Duration = Duration::from_secs(20);
+
+/// Bytes at the start of a request body that decide which replica may have its prefix cached.
+pub const PREFIX_BYTES: usize = 512;
+
+/// Retries that an entry may save up for one service.
+pub const RETRY_BURST: u32 = 100;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of the `siskinbend` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    siskinbend::runtime::run()
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,324 @@
+//! Settings from flags and environment variables; one definition serves both.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+
+use siskinbend_types::AgentId;
+use siskinbend_types::ServiceName;
+use siskinbend_types::Zone;
+
+/// Load balancer for expert-parallel model groups and the services beside them
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Runs an entry: takes the callers' requests
+    #[bpaf(command)]
+    Entry(#[bpaf(external(entry_flags))] EntryFlags),
+    /// Runs an agent beside one backend server
+    #[bpaf(command)]
+    Agent(#[bpaf(external(agent_flags))] AgentFlags),
+}
+
+/// Flags of every process, still as text, so that all mistakes are found in one go.
+#[derive(Debug, Clone, Default, Bpaf)]
+pub struct CommonFlags {
+    /// Name of this process, unique in the fleet
+    #[bpaf(env("SISKINBEND_NAME"), argument("NAME"))]
+    pub name: Option<String>,
+    /// Availability zone of this VM
+    #[bpaf(env("SISKINBEND_ZONE"), argument("ZONE"))]
+    pub zone: Option<String>,
+    /// Address of the admin pages
+    #[bpaf(env("SISKINBEND_ADMIN"), argument("IP:PORT"))]
+    pub admin: Option<String>,
+    /// Address on which this process serves its callers
+    #[bpaf(env("SISKINBEND_LISTEN"), argument("IP:PORT"))]
+    pub listen: Option<String>,
+    /// PEM file with the fleet's CA certificates
+    #[bpaf(env("SISKINBEND_CA"), argument("FILE"))]
+    pub ca: Option<String>,
+    /// PEM file with this process's certificate chain
+    #[bpaf(env("SISKINBEND_CERT"), argument("FILE"))]
+    pub cert: Option<String>,
+    /// PEM file with this process's private key
+    #[bpaf(env("SISKINBEND_KEY"), argument("FILE"))]
+    pub key: Option<String>,
+    /// Address of the platform's services
+    #[bpaf(env("SISKINBEND_PLATFORM"), argument("URL"))]
+    pub platform: Option<String>,
+    /// Environment whose document is in force here
+    #[bpaf(env("SISKINBEND_ENVIRONMENT"), argument("NAME"))]
+    pub environment: Option<String>,
+    /// Document file to run with when no platform is given
+    #[bpaf(env("SISKINBEND_DOCUMENT"), argument("FILE"))]
+    pub document: Option<String>,
+    /// Least severe log level: error, warn, info, debug
+    #[bpaf(env("SISKINBEND_LOG"), argument("LEVEL"))]
+    pub log: Option<String>,
+    /// Worker threads; by default one a core
+    #[bpaf(env("SISKINBEND_THREADS"), argument("N"))]
+    pub threads: Option<String>,
+}
+
+/// Flags of an entry.
+#[derive(Debug, Clone, Default, Bpaf)]
+pub struct EntryFlags {
+    #[bpaf(external(common_flags))]
+    /// Flags of every process.
+    pub common: CommonFlags,
+    /// An agent that is always known, besides those on the platform's list
+    #[bpaf(argument("NAME=IP:PORT"))]
+    pub agent: Vec<String>,
+}
+
+/// Flags of an agent.
+#[derive(Debug, Clone, Default, Bpaf)]
+pub struct AgentFlags {
+    #[bpaf(external(common_flags))]
+    /// Flags of every process.
+    pub common: CommonFlags,
+    /// Address of the backend server
+    #[bpaf(env("SISKINBEND_BACKEND"), argument("URL"))]
+    pub backend: Option<String>,
+    /// Service that the backend server belongs to
+    #[bpaf(env("SISKINBEND_SERVICE"), argument("NAME"))]
+    pub service: Option<String>,
+}
+
+/// One mistake in the settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The flag, with its environment variable.
+    pub place: &'static str,
+    /// What is wrong.
+    pub problem: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let variable = self.place.trim_start_matches('-').to_uppercase();
+        write!(
+            f,
+            "{} (SISKINBEND_{variable}): {}",
+            self.place, self.problem
+        )
+    }
+}
+
+/// Checked settings of every process.
+#[derive(Debug, Clone)]
+pub struct Common {
+    /// Name of this process.
+    pub name: AgentId,
+    /// Availability zone of this VM.
+    pub zone: Zone,
+    /// Address of the admin pages.
+    pub admin: SocketAddr,
+    /// Address of this process's service.
+    pub listen: SocketAddr,
+    /// The fleet's CA certificates.
+    pub ca: PathBuf,
+    /// This process's certificate chain.
+    pub cert: PathBuf,
+    /// This process's private key.
+    pub key: PathBuf,
+    /// Address of the platform's services.
+    pub platform: Option<String>,
+    /// Environment whose document is in force here.
+    pub environment: String,
+    /// Document file to run with when no platform is given.
+    pub document: Option<PathBuf>,
+    /// Least severe log level.
+    pub log: log::LevelFilter,
+    /// Worker threads.
+    pub threads: Option<usize>,
+}
+
+/// Checked settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Settings of every process.
+    pub common: Common,
+    /// Agents that are always known.
+    pub agents: Vec<(AgentId, SocketAddr)>,
+}
+
+/// Checked settings of an agent.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    /// Settings of every process.
+    pub common: Common,
+    /// Address of the backend server.
+    pub backend: http::Uri,
+    /// Service that the backend server belongs to.
+    pub service: ServiceName,
+}
+
+/// Collects findings while flags are read.
+#[derive(Debug, Default)]
+struct Check(Vec<Finding>);
+
+impl Check {
+    fn add(&mut self, place: &'static str, problem: impl fmt::Display) {
+        self.0.push(Finding {
+            place,
+            problem: problem.to_string(),
+        });
+    }
+
+    fn read<T>(&mut self, place: &'static str, text: Option<&String>) -> Option<T>
+    where
+        T: FromStr<Err: fmt::Display>,
+    {
+        match text {
+            None => {
+                self.add(place, "it is missing");
+                None
+            }
+            Some(text) => self.parse(place, text),
+        }
+    }
+
+    fn parse<T>(&mut self, place: &'static str, text: &str) -> Option<T>
+    where
+        T: FromStr<Err: fmt::Display>,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.add(place, format_args!("\"{text}\": {error}"));
+                None
+            }
+        }
+    }
+
+    fn read_file(&mut self, place: &'static str, text: Option<&String>) -> Option<PathBuf> {
+        let path: PathBuf = self.read(place, text)?;
+        match std::fs::File::open(&path) {
+            Ok(_) => Some(path),
+            Err(error) => {
+                self.add(
+                    place,
+                    format_args!("the file {} can't be read: {error}", path.display()),
+                );
+                None
+            }
+        }
+    }
+
+    fn check_common(&mut self, flags: &CommonFlags) -> Option<Common> {
+        let name = self.read("--name", flags.name.as_ref());
+        let zone = self.read("--zone", flags.zone.as_ref());
+        let admin = self.read("--admin", flags.admin.as_ref());
+        let listen = self.read("--listen", flags.listen.as_ref());
+        let ca = self.read_file("--ca", flags.ca.as_ref());
+        let cert = self.read_file("--cert", flags.cert.as_ref());
+        let key = self.read_file("--key", flags.key.as_ref());
+        let document = match &flags.document {
+            Some(_) => self.read_file("--document", flags.document.as_ref()),
+            None => None,
+        };
+        if flags.document.is_none() && flags.platform.is_none() {
+            self.add(
+                "--platform",
+                "it is missing, and there is no --document in its place",
+            );
+        }
+        let log = match &flags.log {
+            Some(text) => self.parse("--log", text),
+            None => Some(log::LevelFilter::Info),
+        };
+        let threads = match &flags.threads {
+            Some(text) => self.parse("--threads", text).filter(|n| *n > 0).map(Some),
+            None => Some(None),
+        };
+        Some(Common {
+            name: name?,
+            zone: zone?,
+            admin: admin?,
+            listen: listen?,
+            ca: ca?,
+            cert: cert?,
+            key: key?,
+            platform: flags.platform.clone(),
+            environment: flags
+                .environment
+                .clone()
+                .unwrap_or_else(|| "production".to_owned()),
+            document,
+            log: log?,
+            threads: threads?,
+        })
+    }
+
+    fn check_agent(&mut self, text: &str) -> Option<(AgentId, SocketAddr)> {
+        let Some((name, address)) = text.split_once('=') else {
+            self.add(
+                "--agent",
+                format_args!("\"{text}\" is not of the form NAME=IP:PORT"),
+            );
+            return None;
+        };
+        let name = self.parse("--agent", name);
+        let address = self.parse("--agent", address);
+        Some((name?, address?))
+    }
+
+    fn finish<T>(self, value: Option<T>) -> Result<T, Vec<Finding>> {
+        match value {
+            Some(value) if self.0.is_empty() => Ok(value),
+            _ => Err(self.0),
+        }
+    }
+}
+
+impl EntryFlags {
+    /// Checks all flags.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake with its flag.
+    pub fn check(&self) -> Result<Entry, Vec<Finding>> {
+        let mut check = Check::default();
+        let common = check.check_common(&self.common);
+        let agents = self
+            .agent
+            .iter()
+            .filter_map(|text| check.check_agent(text))
+            .collect();
+        check.finish(common.map(|common| Entry { common, agents }))
+    }
+}
+
+impl AgentFlags {
+    /// Checks all flags.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake with its flag.
+    pub fn check(&self) -> Result<Agent, Vec<Finding>> {
+        let mut check = Check::default();
+        let common = check.check_common(&self.common);
+        let backend: Option<http::Uri> = check.read("--backend", self.backend.as_ref());
+        if backend
+            .as_ref()
+            .is_some_and(|uri| uri.authority().is_none())
+        {
+            check.add("--backend", "the URL has no host");
+        }
+        let service = check.read("--service", self.service.as_ref());
+        let agent = match (common, backend, service) {
+            (Some(common), Some(backend), Some(service)) => Some(Agent {
+                common,
+                backend,
+                service,
+            }),
+            _ => None,
+        };
+        check.finish(agent)
+    }
+}
--- /dev/null
+++ b/src/shutdown.rs
@@ -0,0 +1,50 @@
+//! Signals and the order to drain.
+
+use std::sync::Arc;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
+
+/// Shared by all tasks of a process; drains once and for good.
+#[derive(Debug, Clone, Default)]
+pub struct Shutdown {
+    token: Arc<CancellationToken>,
+}
+
+impl Shutdown {
+    /// Begins to drain; later calls change nothing.
+    pub fn drain(&self) {
+        self.token.cancel();
+    }
+
+    /// Tells whether the process is draining.
+    pub fn is_draining(&self) -> bool {
+        self.token.is_cancelled()
+    }
+
+    /// Waits until the process begins to drain.
+    pub async fn wait(&self) {
+        self.token.cancelled().await;
+    }
+
+    /// Drains on SIGTERM or SIGINT.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signals can't be watched.
+    pub fn watch_signals(&self) -> std::io::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let shutdown = self.clone();
+        tokio::spawn(async move {
+            let name = tokio::select! {
+                _ = term.recv() => "SIGTERM",
+                _ = interrupt.recv() => "SIGINT",
+            };
+            log::info!(signal = name; "drain_started");
+            shutdown.drain();
+        });
+        Ok(())
+    }
+}
