Decide outcomes, claims and admission of requests

Cause: the interface had no decisions behind it.

Change: - Ledger: queued, running, finished and tombstone records, dispatch windows, drain. Records are kept for three windows after they settle. A dispatch, cancel or lookup whose window is older than that is answered with OutcomeLost or Forgotten, because a dropped record can't be told from one that never was.

Ruled out: a numeric expiry in the row (no shared clock); treating a refusal of an old window as proof after the records are dropped.

--- a/crates/request/src/claim.rs
+++ b/crates/request/src/claim.rs
@@ -1,5 +1,6 @@
 //! Claim rows: which attempt may run the operation of an idempotency key.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -29,7 +30,7 @@
 }
 
 /// What is known of the operation of a key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimState {
     /// The named attempt may be dispatched, queued, running or finished.
     Claimed,
@@ -40,7 +41,10 @@
 }
 
 /// One row of the table service, `claim/{organisation}/{service}/{key}`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// A compare-and-set must see another revision after a row expired and was written anew, so
+/// revisions of the table never repeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimRow {
     /// The organisation that sent the key.
     pub organisation: Organisation,
@@ -78,24 +82,87 @@
     format!("claim/{organisation}/{service}/{key}")
 }
 
-/// Why a row of the table could not be read.
+/// Why a row of the table could not be written or read.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum ClaimError {
-    /// the claim row is not valid JSON of the expected form: {0}
+    /// the claim row is not JSON of the expected form: {0}
     Form(String),
+    /// the field {0} of the claim row can't be read
+    Field(&'static str),
     /// the stored answer has {0} bytes, more than are kept
     Size(usize),
 }
 
 impl std::error::Error for ClaimError {}
 
+/// The row as it stands in the table. Ids are text because many JSON readers lose digits of
+/// numbers above 2^53. Unknown fields are allowed, so that versions of the program can coexist.
+#[derive(Serialize, Deserialize)]
+struct RowText {
+    organisation: Organisation,
+    service: ServiceName,
+    key: String,
+    body: String,
+    id: String,
+    attempt: u32,
+    agent: AgentId,
+    incarnation: String,
+    window: u64,
+    state: StateText,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answer: Option<AnswerText>,
+    retention_ms: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StateText {
+    Claimed,
+    Answered,
+    NotRun,
+}
+
+#[derive(Serialize, Deserialize)]
+struct AnswerText {
+    status: u16,
+    content_type: SmolStr,
+    /// Hexadecimal.
+    body: String,
+}
+
 /// Writes the row as JSON text for the table.
 ///
 /// # Errors
 ///
 /// Returns [`ClaimError::Size`] if the stored answer is too large.
 pub fn encode(row: &ClaimRow) -> Result<String, ClaimError> {
-    serde_json::to_string(row).map_err(|error| ClaimError::Form(error.to_string()))
+    let (state, answer) = match &row.state {
+        ClaimState::Claimed => (StateText::Claimed, None),
+        ClaimState::Answered(answer) => (StateText::Answered, answer.as_ref()),
+        ClaimState::NotRun => (StateText::NotRun, None),
+    };
+    if let Some(answer) = answer.filter(|a| a.body.len() > STORED_BYTES) {
+        return Err(ClaimError::Size(answer.body.len()));
+    }
+    let text = RowText {
+        organisation: row.organisation.clone(),
+        service: row.service.clone(),
+        key: row.key.to_string(),
+        body: row.body.to_string(),
+        id: row.id.to_string(),
+        attempt: row.attempt.0,
+        agent: row.agent.clone(),
+        incarnation: row.incarnation.to_string(),
+        window: row.window.0,
+        state,
+        answer: answer.map(|a| AnswerText {
+            status: a.status,
+            content_type: a.content_type.clone(),
+            body: hex::encode(&a.body),
+        }),
+        retention_ms: u64::try_from(row.retention.as_millis()).unwrap_or(u64::MAX),
+    };
+    serde_json::to_string(&text).map_err(|error| ClaimError::Form(error.to_string()))
 }
 
 /// Reads a row from the JSON text of the table.
@@ -104,5 +171,46 @@
 ///
 /// Returns the first fault found.
 pub fn decode(text: &str) -> Result<ClaimRow, ClaimError> {
-    serde_json::from_str(text).map_err(|error| ClaimError::Form(error.to_string()))
+    let row: RowText =
+        serde_json::from_str(text).map_err(|error| ClaimError::Form(error.to_string()))?;
+    let state = match (row.state, row.answer) {
+        (StateText::Claimed, None) => ClaimState::Claimed,
+        (StateText::NotRun, None) => ClaimState::NotRun,
+        (StateText::Answered, answer) => {
+            ClaimState::Answered(answer.map(decode_answer).transpose()?)
+        }
+        _ => return Err(ClaimError::Field("answer")),
+    };
+    Ok(ClaimRow {
+        organisation: row.organisation,
+        service: row.service,
+        key: parse(&row.key, "key")?,
+        body: parse(&row.body, "body")?,
+        id: parse(&row.id, "id")?,
+        attempt: Attempt(row.attempt),
+        agent: row.agent,
+        incarnation: parse(&row.incarnation, "incarnation")?,
+        window: Window(row.window),
+        state,
+        retention: Duration::from_millis(row.retention_ms),
+    })
+}
+
+fn decode_answer(text: AnswerText) -> Result<StoredAnswer, ClaimError> {
+    let body = hex::decode(&text.body).map_err(|_| ClaimError::Field("answer.body"))?;
+    if body.len() > STORED_BYTES {
+        return Err(ClaimError::Size(body.len()));
+    }
+    Ok(StoredAnswer {
+        status: text.status,
+        content_type: text.content_type,
+        body,
+    })
+}
+
+fn parse<Value>(text: &str, field: &'static str) -> Result<Value, ClaimError>
+where
+    Value: FromStr,
+{
+    text.parse().map_err(|_| ClaimError::Field(field))
 }
--- a/crates/request/src/ledger.rs
+++ b/crates/request/src/ledger.rs
@@ -1,5 +1,7 @@
 //! Agent side of a request: the authority on what has run on its backend server.
 
+use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -13,6 +15,11 @@
 use siskinbend_types::Window;
 
 use crate::StoredAnswer;
+use crate::claim::STORED_BYTES;
+
+/// Windows for which finished records and tombstones are kept. A dispatch is admitted in its own
+/// window or the next, so a tombstone outlives every dispatch that it must refuse.
+const KEPT_WINDOWS: u64 = 3;
 
 /// Options of a ledger.
 #[derive(Debug, Clone)]
@@ -97,22 +104,49 @@
     Failed,
 }
 
+/// What the agent knows of one attempt.
+#[derive(Debug)]
+enum Record {
+    /// Admitted, not started.
+    Queued(Organisation),
+    /// Started, not finished.
+    Running(Organisation),
+    /// Has run.
+    Finished(Organisation, Option<Box<StoredAnswer>>),
+    /// Never starts.
+    Tombstone,
+}
+
 /// Attempts that one agent has seen.
 #[derive(Debug)]
 pub struct Ledger {
     settings: Settings,
     incarnation: Incarnation,
     origin: Time,
+    current: Window,
+    records: HashMap<(RequestId, Attempt), Record>,
+    /// Finished records and tombstones with the window in which they became so, oldest first.
+    settled: VecDeque<(Window, RequestId, Attempt)>,
+    /// Number of queued and running attempts.
+    open: usize,
     draining: bool,
 }
 
 impl Ledger {
     /// An empty ledger of one run of the agent.
     pub fn new(settings: Settings, incarnation: Incarnation, now: Time) -> Self {
+        assert!(
+            !settings.window.is_zero(),
+            "the dispatch window of the agent run {incarnation} is zero"
+        );
         Self {
             settings,
             incarnation,
             origin: now,
+            current: Window(1),
+            records: HashMap::new(),
+            settled: VecDeque::new(),
+            open: 0,
             draining: false,
         }
     }
@@ -122,53 +156,141 @@
     /// # Errors
     ///
     /// Returns the reason of the refusal. Every reason but [`Reason::Duplicate`] and
-    /// [`Reason::OutcomeLost`] proves that the attempt never runs.
+    /// [`Reason::OutcomeLost`] proves that the attempt never runs: a copy of the same dispatch
+    /// that arrives later is refused too.
     pub fn admit(&mut self, dispatch: &Dispatch, now: Time) -> Result<(), Reason> {
-        let _ = now;
-        if dispatch.attempt.incarnation == self.incarnation {
-            Ok(())
-        } else {
-            Err(Reason::WrongIncarnation)
+        self.tick(now);
+        let attempt = &dispatch.attempt;
+        if attempt.incarnation != self.incarnation {
+            return Err(Reason::WrongIncarnation);
+        }
+        // The record comes first: a copy of a dispatch that was admitted must not be refused
+        // with a reason that proves not_run.
+        let key = (attempt.id, attempt.attempt);
+        match self.records.get(&key) {
+            Some(Record::Tombstone) => return Err(Reason::Tombstone),
+            Some(_) => return Err(Reason::Duplicate),
+            None => {}
+        }
+        if self.has_dropped(attempt.window) {
+            return Err(Reason::OutcomeLost);
+        }
+        if attempt.window > self.current {
+            return Err(Reason::Protocol);
         }
+        if attempt.window.next() < self.current {
+            return Err(Reason::StaleWindow);
+        }
+        if self.draining {
+            self.settle(key, Record::Tombstone);
+            return Err(Reason::Draining);
+        }
+        self.open += 1;
+        self.records
+            .insert(key, Record::Queued(dispatch.organisation.clone()));
+        Ok(())
     }
 
     /// Notes that an admitted attempt was refused by the admission queue and never runs.
-    pub fn refuse(&mut self, id: RequestId, attempt: Attempt, now: Time) {
-        let _ = (id, attempt, now);
+    pub fn refuse(&mut self, id: RequestId, attempt: Attempt) {
+        match self.records.get(&(id, attempt)) {
+            Some(Record::Queued(_)) => {
+                self.open -= 1;
+                self.settle((id, attempt), Record::Tombstone);
+            }
+            Some(Record::Tombstone) | None => {}
+            Some(record) => {
+                panic!("attempt {attempt} of request {id} was refused as {record:?}")
+            }
+        }
     }
 
     /// Starts an admitted attempt; false if it was cancelled while it was queued.
     pub fn start(&mut self, id: RequestId, attempt: Attempt, now: Time) -> bool {
-        let _ = (id, attempt, now);
-        true
+        self.tick(now);
+        match self.records.get_mut(&(id, attempt)) {
+            // The tombstone of an attempt that was cancelled long ago has been dropped.
+            Some(Record::Tombstone) | None => false,
+            Some(record) => {
+                let Record::Queued(organisation) = record else {
+                    panic!("attempt {attempt} of request {id} starts again as {record:?}");
+                };
+                *record = Record::Running(organisation.clone());
+                true
+            }
+        }
     }
 
     /// Notes how a started attempt ended.
     pub fn finish(&mut self, id: RequestId, attempt: Attempt, end: Finish, now: Time) {
-        let _ = (id, attempt, end, now);
+        self.tick(now);
+        let record = self.records.get(&(id, attempt));
+        let Some(Record::Running(organisation)) = record else {
+            panic!("attempt {attempt} of request {id} finished as {record:?}");
+        };
+        let answer = match end {
+            Finish::Answered(answer) => answer.filter(|a| a.body.len() <= STORED_BYTES),
+            Finish::Failed => None,
+        };
+        let finished = Record::Finished(organisation.clone(), answer.map(Box::new));
+        self.open -= 1;
+        self.settle((id, attempt), finished);
     }
 
     /// Prevents an attempt from starting if it has not started.
+    ///
+    /// The shell stops a running attempt whose operation may be repeated. It lets others run
+    /// on: the backend server can't tell how far they came.
     pub fn cancel(&mut self, attempt: &AttemptRef, now: Time) -> CancelState {
-        let _ = (attempt, now);
-        CancelState::Forgotten
+        match self.find(attempt, now) {
+            Err(state) => state,
+            Ok(Record::Queued(_) | Record::Tombstone) => CancelState::NeverStarts,
+            Ok(Record::Running(_)) => CancelState::Running,
+            Ok(Record::Finished(..)) => CancelState::Finished,
+        }
     }
 
     /// Tells what became of an attempt, and prevents it from starting if it has not started.
+    ///
+    /// Only the organisation that sent the attempt learns anything of it.
     pub fn lookup(&mut self, attempt: &AttemptRef, owner: &Organisation, now: Time) -> Found {
-        let _ = (attempt, owner, now);
-        Found::Forgotten
+        let key = (attempt.id, attempt.attempt);
+        if let Some(Record::Queued(known) | Record::Running(known) | Record::Finished(known, _)) =
+            self.records.get(&key)
+            && known != owner
+        {
+            return Found::Forgotten;
+        }
+        match self.find(attempt, now) {
+            Err(CancelState::OtherIncarnation) => Found::OtherIncarnation,
+            Err(_) => Found::Forgotten,
+            Ok(Record::Queued(_) | Record::Tombstone) => Found::NeverStarts,
+            Ok(Record::Running(_)) => Found::Running,
+            Ok(Record::Finished(_, Some(answer))) => Found::Finished((**answer).clone()),
+            Ok(Record::Finished(_, None)) => Found::FinishedWithoutAnswer,
+        }
     }
 
     /// The current window; dispatches carry it.
     pub fn window(&self) -> Window {
-        let _ = (&self.settings, self.origin);
-        Window(1)
+        self.current
     }
 
     /// Advances the window and drops old records.
     pub fn tick(&mut self, now: Time) {
-        let _ = now;
+        let windows = now.since(self.origin).as_micros() / self.settings.window.as_micros();
+        let reached = Window(1 + u64::try_from(windows).unwrap_or(u64::MAX - 1));
+        if reached <= self.current {
+            return;
+        }
+        self.current = reached;
+        while let Some(&(window, id, attempt)) = self.settled.front() {
+            if !self.has_dropped(window) {
+                break;
+            }
+            self.settled.pop_front();
+            self.records.remove(&(id, attempt));
+        }
     }
 
     /// Refuses new work from now on.
@@ -183,6 +305,39 @@
 
     /// Whether nothing is queued or running.
     pub fn is_idle(&self) -> bool {
-        true
+        self.open == 0
+    }
+
+    /// Whether records settled in this window have been dropped. An attempt is settled in the
+    /// window of its dispatch or later, so this also tells whether its record can be missing.
+    fn has_dropped(&self, window: Window) -> bool {
+        window.0.saturating_add(KEPT_WINDOWS) < self.current.0
+    }
+
+    /// The record of an attempt, after a tombstone was left if it had not started.
+    fn find(&mut self, attempt: &AttemptRef, now: Time) -> Result<&Record, CancelState> {
+        self.tick(now);
+        if attempt.incarnation != self.incarnation {
+            return Err(CancelState::OtherIncarnation);
+        }
+        let key = (attempt.id, attempt.attempt);
+        match self.records.get(&key) {
+            Some(Record::Queued(_)) => {
+                self.open -= 1;
+                self.settle(key, Record::Tombstone);
+            }
+            Some(_) => {}
+            // A tombstone left now would not outlast a dispatch of a window yet to come.
+            None if self.has_dropped(attempt.window) || attempt.window > self.current => {
+                return Err(CancelState::Forgotten);
+            }
+            None => self.settle(key, Record::Tombstone),
+        }
+        self.records.get(&key).ok_or(CancelState::Forgotten)
+    }
+
+    fn settle(&mut self, key: (RequestId, Attempt), record: Record) {
+        self.settled.push_back((self.current, key.0, key.1));
+        self.records.insert(key, record);
     }
 }
