Add the stand-ins and a test caller

Cause: entry and agent need a platform, backend servers, keys and callers to run against on one machine, with faults that can be switched on.

Change: siskinbend-standins with engine, plain, platform, keys, call, load and ports; four tests of the faults.

Ruled out: losing an answer by a panic in the handler, which prints a backtrace for each; the connection ends with a service error instead.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stand-ins for the platform and the backend servers.
+//! Stand-ins for the platform and the backend servers, and a test caller.
+
+pub mod call;
+pub mod client;
+pub mod engine;
+pub mod keys;
+pub mod load;
+pub mod plain;
+pub mod platform;
+pub mod server;
+pub mod tally;
--- /dev/null
+++ b/crates/standins/src/plain.rs
@@ -0,0 +1,160 @@
+//! Plain service that counts each execution by request id and by the caller's reference.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::routing::get;
+use bpaf::Bpaf;
+use http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::tally::Counters;
+use crate::tally::Counts;
+use crate::tally::Load;
+use crate::tally::lock;
+use crate::tally::read_id;
+
+/// Settings of the plain service.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Address to listen on; port 0 takes a free one
+    #[bpaf(argument("ADDR"))]
+    pub listen: SocketAddr,
+    /// Name given in each answer
+    #[bpaf(argument("X"))]
+    pub name: String,
+    /// Time that each execution takes
+    #[bpaf(argument("MS"), fallback(0))]
+    pub work_ms: u64,
+}
+
+/// Answer to an execution or a lookup.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// Always true.
+    pub ok: bool,
+    /// Name of the service.
+    pub service: String,
+    /// Path after `/v1/`.
+    pub path: String,
+    /// Executions with the same reference, or else the same request id; 0 for a lookup.
+    pub executions: u64,
+    /// The `ref` field of the body.
+    pub echo: Option<Value>,
+}
+
+#[derive(Debug)]
+struct Service {
+    name: String,
+    work: Duration,
+    running: Mutex<usize>,
+    counters: Mutex<Counters>,
+}
+
+/// Body of an execution; all other fields are accepted and unused.
+#[derive(Debug, Deserialize)]
+struct Order {
+    #[serde(rename = "ref")]
+    reference: Option<Value>,
+}
+
+/// Counts an execution as cancelled if the handler is dropped before its end.
+struct Execution(Arc<Service>, bool);
+
+impl Drop for Execution {
+    fn drop(&mut self) {
+        let totals = &mut lock(&self.0.counters).totals;
+        if self.1 {
+            totals.finished += 1;
+        } else {
+            totals.cancelled += 1;
+        }
+        *lock(&self.0.running) -= 1;
+    }
+}
+
+/// Builds the routes of one plain service.
+pub fn build_router(options: &Options) -> Router {
+    let service = Arc::new(Service {
+        name: options.name.clone(),
+        work: Duration::from_millis(options.work_ms),
+        running: Mutex::default(),
+        counters: Mutex::default(),
+    });
+    Router::new()
+        .route("/v1/{*path}", get(look_up).post(execute))
+        .route("/load", get(read_load))
+        .route("/counts", get(read_counts))
+        .with_state(service)
+}
+
+async fn look_up(State(service): State<Arc<Service>>, Path(path): Path<String>) -> Json<Answer> {
+    lock(&service.counters).totals.lookups += 1;
+    let name = service.name.clone();
+    Json(Answer {
+        ok: true,
+        service: name,
+        path,
+        executions: 0,
+        echo: None,
+    })
+}
+
+async fn execute(
+    State(service): State<Arc<Service>>,
+    Path(path): Path<String>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Json<Answer> {
+    // A body that is not an object has no reference.
+    let echo = serde_json::from_value(body)
+        .ok()
+        .and_then(|order: Order| order.reference);
+    let executions = {
+        let mut counters = lock(&service.counters);
+        let by_id = counters.start(read_id(&headers).as_deref());
+        let by_reference = echo
+            .as_ref()
+            .map(|echo| counters.references.add(&print_reference(echo)));
+        by_reference.or(by_id).unwrap_or(1)
+    };
+    *lock(&service.running) += 1;
+    let mut execution = Execution(Arc::clone(&service), false);
+    if !service.work.is_zero() {
+        tokio::time::sleep(service.work).await;
+    }
+    execution.1 = true;
+    let name = service.name.clone();
+    Json(Answer {
+        ok: true,
+        service: name,
+        path,
+        executions,
+        echo,
+    })
+}
+
+fn print_reference(echo: &Value) -> String {
+    echo.as_str()
+        .map_or_else(|| echo.to_string(), str::to_owned)
+}
+
+async fn read_load(State(service): State<Arc<Service>>) -> Json<Load> {
+    Json(Load {
+        running: *lock(&service.running),
+        ..Load::default()
+    })
+}
+
+async fn read_counts(State(service): State<Arc<Service>>) -> Json<Counts> {
+    Json(lock(&service.counters).report())
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,135 @@
+//! HTTP/1.1 server shared by the stand-ins.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::fmt;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener as BlockingListener;
+use std::net::UdpSocket;
+
+use axum::Router;
+use axum::body::Body;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Errors of the commands, as a sentence for the terminal.
+pub type BoxError = Box<dyn Error + Send + Sync>;
+
+/// Marks a response that must never reach the caller: the connection is closed instead.
+#[derive(Debug, Clone, Copy)]
+pub struct LostAnswer;
+
+impl IntoResponse for LostAnswer {
+    fn into_response(self) -> Response {
+        let mut response = Response::new(Body::empty());
+        response.extensions_mut().insert(self);
+        response
+    }
+}
+
+impl fmt::Display for LostAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer is dropped on purpose")
+    }
+}
+
+impl Error for LostAnswer {}
+
+/// Serves `router` on `listen` until SIGTERM or SIGINT; the first line on standard output is
+/// `listening=ADDR`.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn run(listen: SocketAddr, router: Router) -> Result<bool, BoxError> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let listener = TcpListener::bind(listen).await?;
+    println!("listening={}", listener.local_addr()?);
+    tokio::select! {
+        never = serve(listener, router) => match never {},
+        _ = term.recv() => Ok(true),
+        _ = interrupt.recv() => Ok(true),
+    }
+}
+
+/// Serves `router` on a free port of 127.0.0.1 in the background.
+///
+/// # Errors
+/// No port can be bound.
+pub async fn spawn(router: Router) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(serve(listener, router));
+    Ok(address)
+}
+
+/// Accepts connections forever.
+async fn serve(listener: TcpListener, router: Router) -> Infallible {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            // Out of descriptors: the pause keeps the loop from spinning until some are closed.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without TCP_NODELAY a stream's small events wait for acknowledgements.
+        let _ = socket.set_nodelay(true);
+        let inner = TowerToHyperService::new(router.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = inner.call(request);
+            async move {
+                let response = answer.await.unwrap_or_else(|never| match never {});
+                match response.extensions().get::<LostAnswer>() {
+                    Some(lost) => Err(*lost),
+                    None => Ok(response),
+                }
+            }
+        });
+        tokio::spawn(async move {
+            // A connection ends with an error whenever the peer or a fault drops it.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(socket), service)
+                .await;
+        });
+    }
+}
+
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Prints `count` ports of 127.0.0.1 that are free for both TCP and UDP, one a line.
+///
+/// # Errors
+/// Too few ports are free.
+pub fn print_ports(count: usize) -> Result<bool, BoxError> {
+    let mut held = Vec::new();
+    // All sockets stay open until the end, so that no port is printed twice.
+    for _ in 0..count.saturating_mul(4) {
+        if held.len() == count {
+            break;
+        }
+        let tcp = BlockingListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        if let Ok(udp) = UdpSocket::bind(tcp.local_addr()?) {
+            held.push((tcp, udp));
+        }
+    }
+    if held.len() < count {
+        return Err(format!("only {} of {count} ports are free", held.len()).into());
+    }
+    for (tcp, _) in &held {
+        println!("{}", tcp.local_addr()?.port());
+    }
+    Ok(true)
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests, one file a feature.
 
+mod standins;
 mod type_parsing;
