--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -55,7 +55,7 @@
     let body = match read_body(agent, &dispatch, &mut receiver).await {
         Ok(body) => body,
         Err(error) => {
-            agent.core.refuse(key, agent.clock.now());
+            agent.core.refuse(key);
             log::debug!(request:% = id, error:% = error; "dispatch_incomplete");
             refuse(agent, key, Reason::BadRequest, sender).await;
             return;
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -154,8 +154,8 @@
     }
 
     /// Gives up an admitted attempt that was never queued.
-    pub(crate) fn refuse(&self, key: Key, now: Time) {
-        self.lock().ledger.refuse(key.0, key.1, now);
+    pub(crate) fn refuse(&self, key: Key) {
+        self.lock().ledger.refuse(key.0, key.1);
     }
 
     /// Puts an admitted attempt in the queue.
@@ -185,7 +185,7 @@
                 );
             }
             Err(reason) => {
-                inner.ledger.refuse(key.0, key.1, now);
+                inner.ledger.refuse(key.0, key.1);
                 return Err(reason);
             }
         }
@@ -258,7 +258,7 @@
             let taken = self.queue.take(now);
             for job in taken.late {
                 self.open.remove(&job.key);
-                self.ledger.refuse(job.key.0, job.key.1, now);
+                self.ledger.refuse(job.key.0, job.key.1);
                 // The task is gone if the entry hung up; nothing is left to tell.
                 let _ = job.verdict.send(Verdict::Refuse(Reason::Deadline));
             }
@@ -274,7 +274,7 @@
         let (id, attempt) = job.key;
         if job.verdict.is_closed() {
             self.open.remove(&job.key);
-            self.ledger.refuse(id, attempt, now);
+            self.ledger.refuse(id, attempt);
             return false;
         }
         if !self.ledger.start(id, attempt, now) {
