--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,4 +2,5 @@
 
 mod document;
 mod standins;
+mod store;
 mod type_parsing;
