Claim keyed calls in the table service

Cause: a repeated booking through another entry could run twice.

Change: the entry writes, takes over, looks up and records claim rows; an answer that is lost after the write took effect is resolved by reading the row back.

Ruled out: repeating the write when the read shows the old row, because both writes may then be under way and the row names only one attempt.

Before and after: a keyed call was refused with store_unavailable; it now runs.

Conclusion: the shell reports facts, the call decides.

--- /dev/null
+++ b/src/entry/claims.rs
@@ -0,0 +1,110 @@
+//! Reads and writes claim rows for the calls of this entry.
+
+use std::sync::Arc;
+
+use siskinbend_control::table::Check;
+use siskinbend_control::table::Commit;
+use siskinbend_control::table::CommitAnswer;
+use siskinbend_control::table::Key;
+use siskinbend_control::table::Revision;
+use siskinbend_control::table::StoreError;
+use siskinbend_control::table::TransactionId;
+use siskinbend_control::table::Verdict;
+use siskinbend_control::table::Write;
+use siskinbend_control::table::judge_write;
+use siskinbend_request::ClaimRow;
+use siskinbend_request::Event;
+use siskinbend_request::claim;
+use siskinbend_store::Table;
+
+/// Writes a claim row in place of revision `replaces` and tells what the row is then.
+pub(super) async fn write(
+    table: Option<&Arc<dyn Table>>,
+    row: &ClaimRow,
+    replaces: Option<u64>,
+) -> Event {
+    let Some(table) = table else {
+        return Event::ClaimUnavailable;
+    };
+    let Some(commit) = build_commit(row, replaces) else {
+        return Event::ClaimUnavailable;
+    };
+    let key = &commit.checks[0].key;
+    match table.commit(&commit).await {
+        Ok(CommitAnswer::Applied(revision)) => Event::ClaimWritten(revision.0),
+        Ok(CommitAnswer::Conflict(..)) => read(table.as_ref(), key).await,
+        Err(StoreError::NotApplied(_)) => Event::ClaimUnavailable,
+        Err(StoreError::Ambiguous(cause)) => {
+            log::info!(request:% = row.id, cause = cause.as_str(); "claim_answer_lost");
+            read_back(table.as_ref(), &commit).await
+        }
+    }
+}
+
+/// Writes the outcome of a call; a failure is only logged, because a repeat can still ask the
+/// agent that ran the call.
+pub(super) async fn record(table: Option<&Arc<dyn Table>>, row: &ClaimRow, replaces: Option<u64>) {
+    let Some(table) = table else { return };
+    let Some(commit) = build_commit(row, replaces) else {
+        return;
+    };
+    match table.commit(&commit).await {
+        Ok(CommitAnswer::Applied(_)) => {}
+        Ok(CommitAnswer::Conflict(..)) => {
+            log::info!(request:% = row.id; "claim_replaced_before_record");
+        }
+        Err(error) => log::warn!(request:% = row.id, error:% = error; "claim_record_failed"),
+    }
+}
+
+fn build_commit(row: &ClaimRow, replaces: Option<u64>) -> Option<Commit> {
+    let key: Key = row.path().parse().ok()?;
+    let value = claim::encode(row)
+        .inspect_err(|error| log::error!(request:% = row.id, error:% = error; "claim_not_encoded"))
+        .ok()?;
+    Some(Commit {
+        id: TransactionId::from_random(rand::random()),
+        checks: vec![Check {
+            key: key.clone(),
+            revision: replaces.map(Revision),
+        }],
+        writes: vec![Write {
+            key,
+            value: Some(value),
+            ttl_ms: Some(u64::try_from(row.retention.as_millis()).unwrap_or(u64::MAX)),
+        }],
+    })
+}
+
+/// Reads the row that stood in the way of a write.
+async fn read(table: &dyn Table, key: &Key) -> Event {
+    match table.read(key).await {
+        Ok(Some(row)) => to_held(&row.value, row.revision),
+        // It has expired since; the caller may try again.
+        Ok(None) | Err(_) => Event::ClaimUnavailable,
+    }
+}
+
+/// Finds out whether a write whose answer was lost took effect.
+async fn read_back(table: &dyn Table, commit: &Commit) -> Event {
+    let check = &commit.checks[0];
+    let Ok(row) = table.read(&check.key).await else {
+        return Event::ClaimUnavailable;
+    };
+    match (judge_write(&commit.id, check.revision, row.as_ref()), row) {
+        (Verdict::Applied, Some(row)) => Event::ClaimWritten(row.revision.0),
+        (Verdict::Moved, Some(row)) => to_held(&row.value, row.revision),
+        // The write may still arrive; it then names an attempt that is never dispatched.
+        _ => Event::ClaimUnavailable,
+    }
+}
+
+fn to_held(value: &str, revision: Revision) -> Event {
+    match claim::decode(value) {
+        Ok(row) => Event::ClaimHeld(Box::new(row), revision.0),
+        Err(error) => {
+            log::error!(error:% = error; "claim_not_decoded");
+            Event::ClaimUnavailable
+        }
+    }
+}
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -10,6 +10,8 @@
 use siskinbend_request::Action;
 use siskinbend_request::AttemptRef;
 use siskinbend_request::Call;
+use siskinbend_request::ClaimRow;
+use siskinbend_request::ClaimState;
 use siskinbend_request::Event;
 use siskinbend_request::Spec;
 use siskinbend_request::StoredAnswer;
@@ -32,6 +34,7 @@
 
 use super::Entry;
 use super::answer::Answer;
+use super::claims;
 use super::link;
 use super::problem;
 use crate::limits;
@@ -78,6 +81,8 @@
     chosen: Option<AgentId>,
     timer: Option<Time>,
     held: Held,
+    /// The answer of a keyed call so far, unless it is too large to be stored.
+    kept: Option<StoredAnswer>,
     /// The caller's absence was reported to the call.
     gone: bool,
     started: Time,
@@ -100,6 +105,7 @@
         chosen: None,
         timer: None,
         held: Held::Nothing,
+        kept: None,
         gone: false,
         started,
         failed: None,
@@ -249,9 +255,12 @@
             Action::Replay(stored) => self.replay(&stored),
             Action::Fail { outcome, reason } => self.fail(outcome, reason).await,
             Action::SetTimer(at) => self.timer = Some(at),
-            Action::WriteClaim { .. } => self.events.push_back(Event::ClaimUnavailable),
-            Action::Lookup(_) => self.events.push_back(Event::LookupFailed),
-            Action::RecordAnswer { .. } => {}
+            Action::WriteClaim { row, replaces } => {
+                let event = claims::write(self.entry.table.as_ref(), &row, replaces).await;
+                self.events.push_back(event);
+            }
+            Action::Lookup(row) => self.lookup(&row).await,
+            Action::RecordAnswer { row, replaces } => self.record(*row, replaces),
         }
     }
 
@@ -362,7 +371,62 @@
         }
     }
 
+    /// Asks the agent of a claim what became of its attempt.
+    async fn lookup(&mut self, row: &ClaimRow) {
+        let named = AttemptRef {
+            id: row.id,
+            attempt: row.attempt,
+            incarnation: row.incarnation,
+            window: row.window,
+        };
+        let question = Message::Lookup(named, row.organisation.clone());
+        let answer = match self.entry.fleet.find_connection(&row.agent) {
+            Some(connection) => link::ask(&connection, row.id, &question).await,
+            None => None,
+        };
+        self.events.push_back(match answer {
+            Some(Message::Found(found)) => Event::LookedUp(found),
+            _ => Event::LookupFailed,
+        });
+    }
+
+    /// Writes the outcome to the claim row while the caller already has its answer.
+    fn record(&mut self, mut row: ClaimRow, replaces: Option<u64>) {
+        if row.state == ClaimState::Answered(None) {
+            row.state = ClaimState::Answered(self.kept.take());
+        }
+        let entry = Arc::clone(&self.entry);
+        self.entry.requests.spawn(async move {
+            claims::record(entry.table.as_ref(), &row, replaces).await;
+        });
+    }
+
+    /// Keeps the answer of a keyed call while it is small enough to be stored.
+    fn keep(&mut self) {
+        match &self.held {
+            Held::Head(head) if self.spec.key.is_some() => {
+                self.kept = Some(StoredAnswer {
+                    status: head.status,
+                    content_type: head.content_type.clone(),
+                    body: Vec::new(),
+                });
+            }
+            Held::Chunk(bytes) => {
+                let room = limits::KEPT_ANSWER_BYTES.checked_sub(bytes.len());
+                self.kept = self
+                    .kept
+                    .take()
+                    .filter(|k| room.is_some_and(|r| k.body.len() <= r));
+                if let Some(kept) = &mut self.kept {
+                    kept.body.extend_from_slice(bytes);
+                }
+            }
+            _ => {}
+        }
+    }
+
     async fn pass(&mut self) {
+        self.keep();
         match std::mem::replace(&mut self.held, Held::Nothing) {
             Held::Head(head) => {
                 let latency = self.entry.clock.now().since(self.started);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry: takes the callers' requests and drives each to its outcome.
 
 mod answer;
+mod claims;
 mod driver;
 mod fleet;
 mod http;
@@ -13,6 +14,7 @@
 use displaydoc::Display;
 use tokio_util::task::TaskTracker;
 
+use siskinbend_store::Table;
 use siskinbend_types::Incarnation;
 use siskinbend_wire::Keys;
 use siskinbend_wire::TransportError;
@@ -27,6 +29,7 @@
 use crate::document::Active;
 use crate::limits;
 use crate::metrics::Metrics;
+use crate::platform;
 use crate::settings;
 use crate::shutdown::Shutdown;
 
@@ -54,6 +57,7 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) active: Active,
     pub(crate) fleet: Fleet,
+    pub(crate) table: Option<Arc<dyn Table>>,
     /// Requests in flight; a draining entry waits for them.
     pub(crate) requests: TaskTracker,
 }
@@ -104,6 +108,10 @@
         shutdown: Shutdown::default(),
         active,
         fleet: Fleet::new(endpoint.clone(), common.zone.clone()),
+        table: common
+            .platform
+            .as_ref()
+            .map(|p| platform::connect(p) as Arc<dyn Table>),
         requests: TaskTracker::new(),
         settings,
     });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod limits;
 pub mod logs;
 pub mod metrics;
+pub mod platform;
 pub mod runtime;
 pub mod settings;
 pub mod shutdown;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,8 @@
 use std::str::FromStr;
 
 use bpaf::Bpaf;
+use http::Uri;
+use http::uri::Authority;
 
 use siskinbend_types::AgentId;
 use siskinbend_types::ServiceName;
@@ -127,7 +129,7 @@
     /// This process's private key.
     pub key: PathBuf,
     /// Address of the platform's services.
-    pub platform: Option<String>,
+    pub platform: Option<Authority>,
     /// Environment whose document is in force here.
     pub environment: String,
     /// Document file to run with when no platform is given.
@@ -153,7 +155,7 @@
     /// Settings of every process.
     pub common: Common,
     /// Address of the backend server.
-    pub backend: http::Uri,
+    pub backend: Uri,
     /// Service that the backend server belongs to.
     pub service: ServiceName,
 }
@@ -228,6 +230,10 @@
                 "it is missing, and there is no --document in its place",
             );
         }
+        let platform = match &flags.platform {
+            Some(text) => self.read_authority(text).map(Some),
+            None => Some(None),
+        };
         let log = match &flags.log {
             Some(text) => self.parse("--log", text),
             None => Some(log::LevelFilter::Info),
@@ -244,7 +250,7 @@
             ca: ca?,
             cert: cert?,
             key: key?,
-            platform: flags.platform.clone(),
+            platform: platform?,
             environment: flags
                 .environment
                 .clone()
@@ -255,6 +261,17 @@
         })
     }
 
+    fn read_authority(&mut self, text: &str) -> Option<Authority> {
+        let uri: Uri = self.parse("--platform", text)?;
+        if uri.scheme_str() != Some("http") || uri.authority().is_none() {
+            self.add(
+                "--platform",
+                format_args!("\"{text}\" is not of the form http://IP:PORT"),
+            );
+        }
+        uri.into_parts().authority
+    }
+
     fn check_agent(&mut self, text: &str) -> Option<(AgentId, SocketAddr)> {
         let Some((name, address)) = text.split_once('=') else {
             self.add(
@@ -303,7 +320,7 @@
     pub fn check(&self) -> Result<Agent, Vec<Finding>> {
         let mut check = Check::default();
         let common = check.check_common(&self.common);
-        let backend: Option<http::Uri> = check.read("--backend", self.backend.as_ref());
+        let backend: Option<Uri> = check.read("--backend", self.backend.as_ref());
         if backend
             .as_ref()
             .is_some_and(|uri| uri.authority().is_none())
