Keep the retry budget apart from the replica choice

Cause: every chunk of every answer took the lock of the replica choice of all services, only to reach the retry budget.

Change: a budget of its own lock for each service, held by the call.

Ruled out: one budget for each call, because the budget limits all calls.

--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -35,6 +35,8 @@
 use super::Entry;
 use super::answer::Answer;
 use super::claims;
+use super::fleet::Budget;
+use super::fleet::Fleet;
 use super::link;
 use super::problem;
 use crate::limits;
@@ -74,6 +76,7 @@
     spec: Spec,
     forward: Forward,
     call: Call,
+    budget: Budget,
     answer: Answer,
     events: VecDeque<Event>,
     open: Option<Open>,
@@ -96,6 +99,7 @@
     let started = entry.clock.now();
     let mut driver = Driver {
         call: Call::new(spec.clone()),
+        budget: entry.fleet.find_budget(&spec.service),
         entry,
         spec,
         forward,
@@ -123,10 +127,7 @@
                 None => self.wait().await,
             };
             let now = self.entry.clock.now();
-            let actions = self
-                .entry
-                .fleet
-                .handle(&self.spec.service, &mut self.call, event, now);
+            let actions = Fleet::handle(&self.budget, &mut self.call, event, now);
             for action in actions {
                 self.act(action).await;
             }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -31,10 +32,14 @@
 
 use crate::limits;
 
+/// Retry budget of one service, shared by its calls; apart from the picker, because every chunk of
+/// an answer passes through it.
+pub(crate) type Budget = Arc<Mutex<RetryBudget>>;
+
 /// Replicas and retry budget of one service.
 struct Pool {
     picker: Picker,
-    budget: RetryBudget,
+    budget: Budget,
 }
 
 /// A connected agent.
@@ -78,7 +83,7 @@
             let picker = Picker::new(picker::Settings::default(), self.zone.clone());
             let pool = Pool {
                 picker,
-                budget: RetryBudget::new(limits::RETRY_BURST),
+                budget: Arc::new(Mutex::new(RetryBudget::new(limits::RETRY_BURST))),
             };
             pools.insert(service.clone(), pool);
         }
@@ -154,15 +159,14 @@
         self.with_pool(service, |pool| pool.picker.done(agent, done, now));
     }
 
-    /// Hands an event to a call, with the retry budget of its service.
-    pub(crate) fn handle(
-        &self,
-        service: &ServiceName,
-        call: &mut Call,
-        event: Event,
-        now: Time,
-    ) -> Vec<Action> {
-        self.with_pool(service, |pool| call.handle(event, now, &mut pool.budget))
+    /// The retry budget of a service.
+    pub(crate) fn find_budget(&self, service: &ServiceName) -> Budget {
+        self.with_pool(service, |pool| Arc::clone(&pool.budget))
+    }
+
+    /// Hands an event to a call.
+    pub(crate) fn handle(budget: &Budget, call: &mut Call, event: Event, now: Time) -> Vec<Action> {
+        call.handle(event, now, &mut Self::lock(budget))
     }
 
     /// The agents that need a probe now.
