--- a/crates/standins/src/call.rs
+++ b/crates/standins/src/call.rs
@@ -1,5 +1,7 @@
 //! Test caller: sends requests one after the other and prints one line for each.
 
+use std::time::Duration;
+
 use bpaf::Bpaf;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -43,6 +45,9 @@
     /// Number of requests
     #[bpaf(argument("N"), fallback(1))]
     pub count: u32,
+    /// Time after which a request is given up
+    #[bpaf(argument("S"), fallback(60))]
+    pub seconds: u64,
 }
 
 /// Sends the requests; true if each was complete with status 200.
@@ -85,6 +90,7 @@
         headers,
         body: Bytes::from(body.unwrap_or_default()),
         stream: options.stream,
+        limit: Duration::from_secs(options.seconds),
     })
 }
 
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -17,11 +17,8 @@
 
 use crate::server::BoxError;
 
-/// Time after which a request is given up.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Bytes of an answer that are kept for its check.
-const KEPT_BYTES: usize = 64 * 1024;
+/// Bytes of an answer that are kept for its check; the counts of 100,000 ids are about 7 MB.
+const KEPT_BYTES: usize = 16 * 1024 * 1024;
 
 /// Last event of a stream that is complete.
 const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
@@ -39,6 +36,8 @@
     pub body: Bytes,
     /// Whether the answer is a stream that must end with its last event.
     pub stream: bool,
+    /// Time after which the request is given up.
+    pub limit: Duration,
 }
 
 /// What came back.
@@ -54,7 +53,7 @@
     pub chunks: u64,
     /// Whether the body ended cleanly and, for a stream, with its last event.
     pub complete: bool,
-    /// The end of the body, up to 64 KiB.
+    /// The end of the body, up to 16 MiB.
     pub tail: Vec<u8>,
 }
 
@@ -105,7 +104,7 @@
         let start = Instant::now();
         let mut answer = Answer::default();
         let read = self.read_answer(call, &mut answer);
-        let ended = tokio::time::timeout(REQUEST_TIMEOUT, read).await;
+        let ended = tokio::time::timeout(call.limit, read).await;
         let clean = matches!(ended, Ok(Ok(())));
         answer.complete = clean && (!call.stream || answer.tail.ends_with(LAST_EVENT));
         answer.latency = start.elapsed();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -297,7 +297,7 @@
             }
             true
         });
-        drop(counters);
+        // Under the lock, so that no reader sees a finished request still running.
         self.report_load();
         made
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod runs;
 pub mod server;
 pub mod tally;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -22,6 +22,9 @@
 /// Significant digits of the latency histogram.
 const DIGITS: u8 = 3;
 
+/// Time after which a request counts as failed.
+const REQUEST_LIMIT: Duration = Duration::from_secs(30);
+
 /// What to send.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(options))]
@@ -142,5 +145,6 @@
         headers,
         body: Bytes::from(body.unwrap_or_default()),
         stream: options.stream,
+        limit: REQUEST_LIMIT,
     })
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
 use siskinbend_standins::load;
 use siskinbend_standins::plain;
 use siskinbend_standins::platform;
+use siskinbend_standins::runs;
 use siskinbend_standins::server;
 
 /// Runs one stand-in of the platform or of a backend server, or a test caller
@@ -34,6 +35,9 @@
     /// Sends many requests and prints latency percentiles
     #[bpaf(command)]
     Load(#[bpaf(external(load::options))] load::Options),
+    /// Checks that no reference ran twice
+    #[bpaf(command)]
+    Runs(#[bpaf(external(runs::options))] runs::Options),
     /// Prints ports of 127.0.0.1 that are free for TCP and UDP
     #[bpaf(command)]
     Ports {
@@ -61,6 +65,7 @@
         Command::Keys(options) => keys::write(&options).map(|()| true),
         Command::Call(options) => call::run(&options).await,
         Command::Load(options) => load::run(&options).await,
+        Command::Runs(options) => runs::run(&options).await,
         Command::Ports { count } => server::print_ports(count),
     };
     match done {
--- a/tests/integration/standins.rs
+++ b/tests/integration/standins.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use axum::Router;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -18,27 +19,27 @@
     let mut headers = HeaderMap::new();
     headers.insert("Content-Type", HeaderValue::from_static("application/json"));
     headers.insert("Siskinbend-Request", HeaderValue::from_static("r1"));
-    let uri = format!("http://{to}{path}")
-        .parse()
-        .expect("address and path are valid");
+    let uri = format!("http://{to}{path}").parse();
     Call {
         method,
-        uri,
+        uri: uri.expect("address and path are valid"),
         headers,
         body: body.to_string().into(),
         stream: false,
+        limit: Duration::from_secs(30),
     }
 }
 
 /// Sends once and returns the status, 0 without an answer, and the JSON body.
 async fn send(to: SocketAddr, method: Method, path: &str, body: Value) -> (u16, Value) {
-    let answer = Caller::default()
-        .send(&build_call(to, method, path, &body))
-        .await;
-    (
-        answer.status,
-        serde_json::from_slice(&answer.tail).unwrap_or_default(),
-    )
+    let call = build_call(to, method, path, &body);
+    let answer = Caller::default().send(&call).await;
+    let body = serde_json::from_slice(&answer.tail).unwrap_or_default();
+    (answer.status, body)
+}
+
+async fn commit(to: SocketAddr, commit: Value) -> (u16, Value) {
+    send(to, Method::POST, "/table/commit", commit).await
 }
 
 async fn read(to: SocketAddr, path: &str) -> Value {
@@ -47,68 +48,45 @@
     body
 }
 
-async fn start_platform() -> SocketAddr {
-    server::spawn(platform::build_router())
-        .await
-        .expect("a port is free")
+async fn start(router: Router) -> SocketAddr {
+    server::spawn(router).await.expect("a port is free")
 }
 
 #[tokio::test]
 async fn lost_answer_follows_an_applied_commit() {
     // A fault that dropped the write as well would never exercise the read-back of a writer.
-    let to = start_platform().await;
+    let to = start(platform::build_router()).await;
     let faults = json!({"target": "table", "lose_answers": true});
     assert_eq!(send(to, Method::POST, "/faults", faults).await.0, 204);
-    let commit = json!({"id": "t1", "checks": [{"key": "a", "revision": null}],
+    let first = json!({"id": "t1", "checks": [{"key": "a", "revision": null}],
         "writes": [{"key": "a", "value": "v"}]});
-    assert_eq!(
-        send(to, Method::POST, "/table/commit", commit).await,
-        (0, Value::Null)
-    );
-    let row = read(to, "/table/row?key=a").await;
-    assert_eq!(
-        row,
-        json!({"key": "a", "value": "v", "revision": 1, "writer": "t1"})
-    );
+    assert_eq!(commit(to, first).await, (0, Value::Null));
+    let row = json!({"key": "a", "value": "v", "revision": 1, "writer": "t1"});
+    assert_eq!(read(to, "/table/row?key=a").await, row);
 }
 
 #[tokio::test]
 async fn conflicting_check_writes_nothing() {
     // A transaction applied in part would let two claims of one key both dispatch.
-    let to = start_platform().await;
+    let to = start(platform::build_router()).await;
     let first = json!({"id": "t1", "checks": [{"key": "a", "revision": null}],
         "writes": [{"key": "a", "value": "v"}]});
     let applied = (200, json!({"revision": 1}));
-    assert_eq!(
-        send(to, Method::POST, "/table/commit", first).await,
-        applied
-    );
+    assert_eq!(commit(to, first).await, applied);
     let second = json!({"id": "t2",
         "checks": [{"key": "b", "revision": null}, {"key": "a", "revision": null}],
         "writes": [{"key": "b", "value": "w"}, {"key": "a", "value": null}]});
     let refused = (409, json!({"key": "a", "revision": 1}));
-    assert_eq!(
-        send(to, Method::POST, "/table/commit", second).await,
-        refused
-    );
+    assert_eq!(commit(to, second).await, refused);
+    let row = json!({"key": "a", "value": "v", "revision": 1, "writer": "t1"});
     let rows = read(to, "/table/scan?prefix=&limit=10").await;
-    assert_eq!(
-        rows,
-        json!([{"key": "a", "value": "v", "revision": 1, "writer": "t1"}])
-    );
+    assert_eq!(rows, json!([row]));
     let third = json!({"id": "t3", "checks": [{"key": "a", "revision": 1}],
         "writes": [{"key": "a", "value": null}]});
     let applied = (200, json!({"revision": 2}));
-    assert_eq!(
-        send(to, Method::POST, "/table/commit", third).await,
-        applied
-    );
-    assert_eq!(
-        send(to, Method::GET, "/table/row?key=a", Value::Null)
-            .await
-            .0,
-        404
-    );
+    assert_eq!(commit(to, third).await, applied);
+    let read = send(to, Method::GET, "/table/row?key=a", Value::Null);
+    assert_eq!(read.await.0, 404);
 }
 
 #[tokio::test]
@@ -122,9 +100,7 @@
         token_ms: 1,
         step_us: 0,
     };
-    let to = server::spawn(engine::build_router(&options))
-        .await
-        .expect("a port is free");
+    let to = start(engine::build_router(&options)).await;
     let body = json!({"prompt": "p", "max_tokens": 100_000_000, "stream": true});
     let mut call = build_call(to, Method::POST, "/v1/complete", &body);
     call.stream = true;
@@ -152,7 +128,7 @@
 #[tokio::test]
 async fn vm_list_is_seen_late() {
     // Without a lag, drain tests would never meet a VM that is leaving but still listed as live.
-    let to = start_platform().await;
+    let to = start(platform::build_router()).await;
     let list = |state| json!([{"id": "v", "zone": "oyo", "address": "a", "state": state}]);
     assert_eq!(send(to, Method::PUT, "/vms", list("live")).await.0, 204);
     pass_time().await;
