Add expert maps, count reports and the placement policy interface

Cause: the coordinator needs types to wire: what a rank reports, what a policy sees and what it returns.

Change: shape and map with shares of each replica, report codec, decayed aggregation, greedy packing, the static and replan policies behind a trait.

Ruled out: expert ids in reports (they follow from map version and rank); a byte a count on a logarithmic scale (its rounding error exceeds the noise of counting for large counts); an even split over replicas (shares that level the ranks cost no bytes).

Conclusion: the interface can be wired; only the priced decision is missing.

--- /dev/null
+++ b/crates/placement/src/counts.rs
@@ -0,0 +1,320 @@
+//! Demand of each expert and speed of each rank from the counts that ranks report.
+
+use std::collections::VecDeque;
+
+use crate::codec::Report;
+use crate::map::ExpertMap;
+use crate::map::Shape;
+use crate::map::WHOLE;
+
+/// Weight of an interval against the one after it; about four intervals count.
+const DECAY: f64 = 0.75;
+/// Intervals after which a late report is of no use.
+const LATE_INTERVALS: u32 = 8;
+/// Maps that are kept to read reports that were made before a switch.
+const MAPS_KEPT: usize = 8;
+/// Difference from the median speed that is taken for noise.
+const SPEED_TOLERANCE: f64 = 0.08;
+/// Least and inverse of the largest speed relative to the median; a rank that stalls for most of
+/// an interval would otherwise seem to have no speed at all.
+const SPEED_FLOOR: f64 = 0.05;
+/// Weight of a new speed against the earlier ones.
+const SPEED_GAIN: f64 = 0.6;
+
+/// Estimated demand of one layer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LayerDemand {
+    /// Tokens a step of each expert, decayed mean.
+    pub mean: Vec<f64>,
+    /// Tokens a step of each expert in the newest interval.
+    pub latest: Vec<f64>,
+    /// Variance of one interval's tokens a step around the mean, by expert.
+    pub variance: Vec<f64>,
+    /// Change of the mean an interval, by expert.
+    pub trend: Vec<f64>,
+}
+
+/// Estimated demand of a group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Demand {
+    /// The layers.
+    pub layers: Vec<LayerDemand>,
+    /// Speed of each rank relative to the median rank.
+    pub speeds: Vec<f64>,
+    /// Intervals with reports so far.
+    pub intervals: u32,
+    /// Steps in an interval.
+    pub steps: f64,
+}
+
+/// Why a report was not counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum Refusal {
+    /// the report has a rank that the group doesn't have
+    UnknownRank,
+    /// the report was made under a map that is not kept
+    UnknownMap,
+    /// the report does not have the counts of the map's slots
+    WrongSize,
+    /// the report was counted before
+    Duplicate,
+    /// the report is of an interval too long ago
+    Late,
+}
+
+impl Refusal {
+    /// The name in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refusal::UnknownRank => "unknown_rank",
+            Refusal::UnknownMap => "unknown_map",
+            Refusal::WrongSize => "wrong_size",
+            Refusal::Duplicate => "duplicate",
+            Refusal::Late => "late",
+        }
+    }
+}
+
+/// Tokens and observed steps of each expert of each layer in one interval.
+#[derive(Debug, Clone)]
+struct Interval {
+    tokens: Vec<f64>,
+    steps: Vec<f64>,
+}
+
+/// What is kept of one rank.
+#[derive(Debug, Clone, Copy, Default)]
+struct RankState {
+    newest: Option<u32>,
+    seen: u32,
+    rate: Option<f64>,
+}
+
+/// Adds up reports that may be late, lost or duplicated.
+#[derive(Debug, Clone)]
+pub struct Aggregate {
+    shape: Shape,
+    maps: VecDeque<ExpertMap>,
+    ranks: Vec<RankState>,
+    intervals: VecDeque<Interval>,
+    newest: Option<u32>,
+    counted: u32,
+    steps: f64,
+}
+
+impl Aggregate {
+    /// An aggregate without reports.
+    pub fn new(shape: Shape, map: ExpertMap) -> Aggregate {
+        Aggregate {
+            shape,
+            maps: VecDeque::from([map]),
+            ranks: vec![RankState::default(); usize::from(shape.ranks)],
+            intervals: VecDeque::new(),
+            newest: None,
+            counted: 0,
+            steps: 0.0,
+        }
+    }
+
+    /// Keeps a map so that reports made under it can be read; call it at every switch.
+    pub fn install(&mut self, map: ExpertMap) {
+        self.maps.push_front(map);
+        self.maps.truncate(MAPS_KEPT);
+    }
+
+    /// Adds a report.
+    ///
+    /// The tokens of an expert are divided by the share of its traffic that the reporting ranks
+    /// carry, so a lost report widens the error of an estimate but doesn't bias it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the report was not counted.
+    pub fn ingest(&mut self, report: &Report) -> Result<(), Refusal> {
+        let rank = usize::from(report.rank);
+        let state = *self.ranks.get(rank).ok_or(Refusal::UnknownRank)?;
+        let map = self.maps.iter().find(|m| m.version == report.version);
+        let map = map.ok_or(Refusal::UnknownMap)?;
+        let hosted: Vec<Vec<(usize, u16)>> = map
+            .layers
+            .iter()
+            .map(|layer| layer.list_hosted(report.rank).collect())
+            .collect();
+        let sizes = report.layers.iter().map(Vec::len);
+        if report.steps == 0 || !sizes.eq(hosted.iter().map(Vec::len)) {
+            return Err(Refusal::WrongSize);
+        }
+        self.ranks[rank] = state.mark(report.interval)?;
+        let age = self.open_interval(report.interval).ok_or(Refusal::Late)?;
+        self.ranks[rank].observe_speed(report);
+        self.steps = f64::from(report.steps);
+        let interval = &mut self.intervals[age];
+        let experts = usize::from(self.shape.experts);
+        for (layer, (on, counts)) in hosted.iter().zip(&report.layers).enumerate() {
+            for ((expert, share), count) in on.iter().zip(counts) {
+                let at = layer * experts + expert;
+                interval.tokens[at] += *count as f64;
+                interval.steps[at] +=
+                    f64::from(report.steps) * f64::from(*share) / f64::from(WHOLE);
+            }
+        }
+        Ok(())
+    }
+
+    /// Makes room for an interval and returns its age.
+    fn open_interval(&mut self, number: u32) -> Option<usize> {
+        let newest = self.newest.unwrap_or(number);
+        if number >= newest {
+            let fresh = if self.newest.is_some() {
+                number - newest
+            } else {
+                1
+            };
+            let size = usize::from(self.shape.layers) * usize::from(self.shape.experts);
+            for _ in 0..fresh.min(LATE_INTERVALS) {
+                self.intervals.push_front(Interval {
+                    tokens: vec![0.0; size],
+                    steps: vec![0.0; size],
+                });
+                self.counted += 1;
+            }
+            self.intervals.truncate(LATE_INTERVALS as usize);
+            self.newest = Some(number);
+            return Some(0);
+        }
+        let age = (newest - number) as usize;
+        (age < self.intervals.len()).then_some(age)
+    }
+
+    /// The demand as far as the reports show it.
+    pub fn estimate(&self) -> Demand {
+        let experts = usize::from(self.shape.experts);
+        let layers = (0..usize::from(self.shape.layers))
+            .map(|layer| self.estimate_layer(layer * experts, experts))
+            .collect();
+        Demand {
+            layers,
+            speeds: self.compare_speeds(),
+            intervals: self.counted,
+            steps: self.steps,
+        }
+    }
+
+    fn estimate_layer(&self, start: usize, experts: usize) -> LayerDemand {
+        let mut layer = LayerDemand {
+            mean: vec![0.0; experts],
+            latest: vec![0.0; experts],
+            variance: vec![0.0; experts],
+            trend: vec![0.0; experts],
+        };
+        let mut changes = Vec::new();
+        for expert in 0..experts {
+            let series = self.list_rates(start + expert);
+            let weights: f64 = series.iter().map(|(age, _, seen)| weigh(*age) * seen).sum();
+            if weights <= 0.0 {
+                continue;
+            }
+            let sum: f64 = series
+                .iter()
+                .map(|(age, rate, seen)| weigh(*age) * seen * rate)
+                .sum();
+            let mean = sum / weights;
+            layer.mean[expert] = mean;
+            layer.latest[expert] = series[0].1;
+            layer.trend[expert] = fit_slope(&series);
+            for pair in series.windows(2) {
+                changes.push((pair[0].1 - pair[1].1).powi(2) / mean.max(f64::MIN_POSITIVE).powi(2));
+            }
+        }
+        // The median over all experts keeps a burst from hiding itself in the variance. The median
+        // of a squared normal variable is 0.455, and a difference has twice the variance.
+        let relative = find_median(&mut changes).unwrap_or(0.0) / (2.0 * 0.455);
+        for (variance, mean) in layer.variance.iter_mut().zip(&layer.mean) {
+            *variance = (relative * mean * mean).max(mean / self.steps.max(1.0));
+        }
+        layer
+    }
+
+    /// Age, tokens a step and observed steps of an expert in the intervals that saw it.
+    fn list_rates(&self, at: usize) -> Vec<(usize, f64, f64)> {
+        let seen = |(age, interval): (usize, &Interval)| {
+            let steps = interval.steps[at];
+            (steps > 0.0).then(|| (age, interval.tokens[at] / steps, steps))
+        };
+        self.intervals.iter().enumerate().filter_map(seen).collect()
+    }
+
+    fn compare_speeds(&self) -> Vec<f64> {
+        let mut rates: Vec<f64> = self.ranks.iter().filter_map(|r| r.rate).collect();
+        let median = find_median(&mut rates).unwrap_or(1.0);
+        let compare = |rank: &RankState| match rank.rate {
+            Some(rate) if (rate / median - 1.0).abs() > SPEED_TOLERANCE => {
+                (rate / median).clamp(SPEED_FLOOR, 1.0 / SPEED_FLOOR)
+            }
+            _ => 1.0,
+        };
+        self.ranks.iter().map(compare).collect()
+    }
+}
+
+impl RankState {
+    /// Marks an interval as counted.
+    fn mark(self, interval: u32) -> Result<RankState, Refusal> {
+        let newest = self.newest.unwrap_or(interval);
+        if interval > newest || self.newest.is_none() {
+            let seen = self.seen.checked_shl(interval - newest).unwrap_or(0) | 1;
+            return Ok(RankState {
+                newest: Some(interval),
+                seen,
+                ..self
+            });
+        }
+        let age = newest - interval;
+        if age >= LATE_INTERVALS {
+            return Err(Refusal::Late);
+        }
+        if self.seen & (1 << age) != 0 {
+            return Err(Refusal::Duplicate);
+        }
+        Ok(RankState {
+            seen: self.seen | 1 << age,
+            ..self
+        })
+    }
+
+    /// Tokens a nanosecond of busy time; a stall counts as busy time and lowers the rate.
+    fn observe_speed(&mut self, report: &Report) {
+        let tokens: u64 = report.layers.iter().flatten().sum();
+        let busy = f64::from(report.busy_ns) * f64::from(report.steps);
+        if tokens == 0 || busy <= 0.0 || self.newest != Some(report.interval) {
+            return;
+        }
+        let rate = tokens as f64 / busy;
+        self.rate = Some(match self.rate {
+            Some(old) => old + SPEED_GAIN * (rate - old),
+            None => rate,
+        });
+    }
+}
+
+fn weigh(age: usize) -> f64 {
+    DECAY.powi(i32::try_from(age).unwrap_or(i32::MAX))
+}
+
+/// Change an interval by least squares; ages run backwards.
+fn fit_slope(series: &[(usize, f64, f64)]) -> f64 {
+    let count = series.len() as f64;
+    let age = series.iter().map(|s| s.0 as f64).sum::<f64>() / count;
+    let rate = series.iter().map(|s| s.1).sum::<f64>() / count;
+    let (mut above, mut below) = (0.0, 0.0);
+    for (a, r, _) in series {
+        above += (*a as f64 - age) * (r - rate);
+        below += (*a as f64 - age).powi(2);
+    }
+    if below > 0.0 { -above / below } else { 0.0 }
+}
+
+fn find_median(values: &mut [f64]) -> Option<f64> {
+    let middle = values.len().checked_sub(1)? / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
--- /dev/null
+++ b/crates/placement/src/explanation.rs
@@ -0,0 +1,92 @@
+//! Why a placement change was made or not.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a change was made or not.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, displaydoc::Display)]
+#[serde(rename_all = "snake_case")]
+pub enum Explanation {
+    /// the policy never changes the map
+    Fixed,
+    /// all experts were packed anew
+    Repacked,
+    /// no counts were reported yet
+    NoCounts,
+    /// the imbalance of layer {layer} is within the noise of its counts
+    Noise {
+        /// The layer with the highest load.
+        layer: u16,
+    },
+    /// the best move in layer {layer} would gain {gain:.3} and cost {cost:.3}
+    TooDear {
+        /// The layer.
+        layer: u16,
+        /// Worth of the saving.
+        gain: f64,
+        /// Cost of the move.
+        cost: f64,
+    },
+    /// layer {layer} has no slot that could take a replica with a gain
+    NoSlot {
+        /// The layer.
+        layer: u16,
+    },
+    /// further moves wait for the rate of the weight store
+    Staged,
+    /// expert {expert} of layer {layer} became hot and gets a replica on rank {rank}
+    Burst {
+        /// The layer.
+        layer: u16,
+        /// The expert.
+        expert: u16,
+        /// The rank that gets the replica.
+        rank: u16,
+    },
+    /// expert {expert} of layer {layer} gets a replica on rank {rank}: gain {gain:.3}, cost {cost:.3}
+    Replicated {
+        /// The layer.
+        layer: u16,
+        /// The expert.
+        expert: u16,
+        /// The rank that gets the replica.
+        rank: u16,
+        /// Worth of the saving.
+        gain: f64,
+        /// Cost of the move.
+        cost: f64,
+    },
+    /// the shares of layer {layer} are split anew without loading anything: gain {gain:.3}
+    Split {
+        /// The layer.
+        layer: u16,
+        /// Worth of the saving.
+        gain: f64,
+    },
+    /// rank {rank} runs at {speed:.2} of the usual speed and is given less
+    Relieved {
+        /// The rank.
+        rank: u16,
+        /// Its speed relative to the median.
+        speed: f64,
+    },
+}
+
+impl Explanation {
+    /// The name in metrics and logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Explanation::Fixed => "fixed",
+            Explanation::Repacked => "repacked",
+            Explanation::NoCounts => "no_counts",
+            Explanation::Noise { .. } => "noise",
+            Explanation::TooDear { .. } => "too_dear",
+            Explanation::NoSlot { .. } => "no_slot",
+            Explanation::Staged => "staged",
+            Explanation::Burst { .. } => "burst",
+            Explanation::Replicated { .. } => "replicated",
+            Explanation::Split { .. } => "split",
+            Explanation::Relieved { .. } => "relieved",
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,35 @@
-//! Expert placement policy.
+//! Expert placement policy: counts in, a map with its cost and explanation out.
+//!
+//! Everything here is pure: a caller passes in counts, the map in force and what may be loaded.
+
+pub mod bound;
+pub mod codec;
+pub mod counts;
+pub mod explanation;
+pub mod map;
+mod model;
+pub mod packing;
+pub mod policy;
+mod priced;
+mod split;
+
+pub use codec::CodecError;
+pub use codec::Report;
+pub use counts::Aggregate;
+pub use counts::Demand;
+pub use counts::LayerDemand;
+pub use counts::Refusal;
+pub use explanation::Explanation;
+pub use map::ExpertMap;
+pub use map::LayerMap;
+pub use map::MapError;
+pub use map::Replica;
+pub use map::Shape;
+pub use policy::Change;
+pub use policy::Cost;
+pub use policy::Decision;
+pub use policy::Kind;
+pub use policy::Load;
+pub use policy::Policy;
+pub use policy::Price;
+pub use policy::View;
--- /dev/null
+++ b/crates/placement/src/map.rs
@@ -0,0 +1,160 @@
+//! Which ranks hold a replica of each expert, and how its tokens are split over them.
+
+use serde::Deserialize;
+use serde::Serialize;
+use siskinbend_types::Version;
+
+/// Parts into which the tokens of an expert are split.
+pub const WHOLE: u16 = 10_000;
+
+/// Size of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shape {
+    /// Number of ranks.
+    pub ranks: u16,
+    /// Experts in each layer.
+    pub experts: u16,
+    /// Layers with experts.
+    pub layers: u16,
+    /// Experts that a rank can hold in each layer.
+    pub slots: u16,
+}
+
+/// One rank that holds an expert.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// The rank.
+    pub rank: u16,
+    /// Parts of [`WHOLE`] of the expert's tokens; 0 for weights that are kept loaded but unused.
+    pub share: u16,
+}
+
+/// The replicas of one layer, by expert and in the order of ranks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayerMap {
+    /// The replicas of each expert.
+    pub experts: Vec<Vec<Replica>>,
+}
+
+/// The map of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpertMap {
+    /// Grows with every change.
+    pub version: Version,
+    /// The layers.
+    pub layers: Vec<LayerMap>,
+}
+
+/// Why a map does not fit a shape.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum MapError {
+    /// the map has {0} layers instead of {1}
+    Layers(usize, u16),
+    /// layer {0} has {1} experts instead of {2}
+    Experts(usize, usize, u16),
+    /// expert {1} of layer {0} is on no rank
+    Missing(usize, usize),
+    /// the replicas of expert {1} of layer {0} are not on distinct ranks in order
+    Ranks(usize, usize),
+    /// the shares of expert {1} of layer {0} add up to {2} instead of 10000
+    Shares(usize, usize, u32),
+    /// rank {1} holds {2} experts of layer {0}, more than it has slots
+    Slots(usize, usize, u16),
+    /// {0} experts do not fit into {1} slots
+    Room(u32, u32),
+}
+
+impl std::error::Error for MapError {}
+
+impl ExpertMap {
+    /// The map of a group whose demand is not known yet: experts in order over the ranks, one
+    /// replica each.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MapError::Room`] if the experts do not fit.
+    pub fn spread(shape: Shape) -> Result<ExpertMap, MapError> {
+        let room = u32::from(shape.ranks) * u32::from(shape.slots);
+        if u32::from(shape.experts) > room {
+            return Err(MapError::Room(u32::from(shape.experts), room));
+        }
+        let place = |expert: u16| {
+            let rank = u32::from(expert) * u32::from(shape.ranks) / u32::from(shape.experts);
+            vec![Replica {
+                rank: u16::try_from(rank).unwrap_or(u16::MAX),
+                share: WHOLE,
+            }]
+        };
+        let layer = LayerMap {
+            experts: (0..shape.experts).map(place).collect(),
+        };
+        Ok(ExpertMap {
+            version: Version(0),
+            layers: vec![layer; usize::from(shape.layers)],
+        })
+    }
+
+    /// Checks that every expert is placed, the shares add up and no rank exceeds its slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first rule that the map breaks.
+    pub fn check(&self, shape: Shape) -> Result<(), MapError> {
+        if self.layers.len() != usize::from(shape.layers) {
+            return Err(MapError::Layers(self.layers.len(), shape.layers));
+        }
+        for (index, layer) in self.layers.iter().enumerate() {
+            layer.check(index, shape)?;
+        }
+        Ok(())
+    }
+}
+
+impl LayerMap {
+    fn check(&self, index: usize, shape: Shape) -> Result<(), MapError> {
+        if self.experts.len() != usize::from(shape.experts) {
+            return Err(MapError::Experts(index, self.experts.len(), shape.experts));
+        }
+        let mut held = vec![0u16; usize::from(shape.ranks)];
+        for (expert, replicas) in self.experts.iter().enumerate() {
+            if replicas.is_empty() {
+                return Err(MapError::Missing(index, expert));
+            }
+            let ordered = replicas.is_sorted_by(|a, b| a.rank < b.rank);
+            if !ordered || replicas.iter().any(|r| r.rank >= shape.ranks) {
+                return Err(MapError::Ranks(index, expert));
+            }
+            let sum: u32 = replicas.iter().map(|r| u32::from(r.share)).sum();
+            if sum != u32::from(WHOLE) {
+                return Err(MapError::Shares(index, expert, sum));
+            }
+            for replica in replicas {
+                held[usize::from(replica.rank)] += 1;
+            }
+        }
+        match held.iter().position(|n| *n > shape.slots) {
+            Some(rank) => Err(MapError::Slots(index, rank, held[rank])),
+            None => Ok(()),
+        }
+    }
+
+    /// The experts that a rank holds with their shares, in the order of experts.
+    pub fn list_hosted(&self, rank: u16) -> impl Iterator<Item = (usize, u16)> + '_ {
+        self.experts.iter().enumerate().filter_map(move |(e, on)| {
+            let replica = on.iter().find(|r| r.rank == rank)?;
+            Some((e, replica.share))
+        })
+    }
+
+    /// The load of each rank in the unit of `demand`, which holds one value an expert.
+    pub fn sum_loads(&self, demand: &[f64], ranks: u16) -> Vec<f64> {
+        let mut loads = vec![0.0; usize::from(ranks)];
+        for (replicas, tokens) in self.experts.iter().zip(demand) {
+            for replica in replicas {
+                loads[usize::from(replica.rank)] +=
+                    tokens * f64::from(replica.share) / f64::from(WHOLE);
+            }
+        }
+        loads
+    }
+}
--- /dev/null
+++ b/crates/placement/src/model.rs
@@ -0,0 +1,1 @@
+//! Expected step time of a layer.
--- /dev/null
+++ b/crates/placement/src/packing.rs
@@ -0,0 +1,187 @@
+//! Packs all experts of a layer anew, without regard to where they are.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+use siskinbend_types::Version;
+
+use crate::explanation::Explanation;
+use crate::map::ExpertMap;
+use crate::map::MapError;
+use crate::map::Shape;
+use crate::policy::Change;
+use crate::policy::Cost;
+use crate::policy::Decision;
+use crate::policy::Kind;
+use crate::policy::Load;
+use crate::policy::Policy;
+use crate::policy::View;
+use crate::split::Draft;
+use crate::split::Part;
+
+/// Passes that level the shares of a packed layer.
+const LEVEL_SWEEPS: usize = 20;
+
+/// Packs a group for a demand in tokens a step of each expert of each layer.
+///
+/// # Errors
+///
+/// Returns [`MapError::Room`] if the experts do not fit.
+pub fn pack_map(
+    shape: Shape,
+    demand: &[Vec<f64>],
+    speeds: &[f64],
+    version: Version,
+) -> Result<ExpertMap, MapError> {
+    ExpertMap::spread(shape)?;
+    let pack = |tokens: &Vec<f64>| pack_layer(shape, tokens, speeds).to_map();
+    Ok(ExpertMap {
+        version,
+        layers: demand.iter().map(pack).collect(),
+    })
+}
+
+/// A value that can be kept in a heap.
+#[derive(Debug, PartialEq)]
+struct Keyed(f64, usize);
+
+impl Eq for Keyed {}
+
+impl PartialOrd for Keyed {
+    fn partial_cmp(&self, other: &Keyed) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Keyed {
+    fn cmp(&self, other: &Keyed) -> Ordering {
+        self.0
+            .total_cmp(&other.0)
+            .then_with(|| other.1.cmp(&self.1))
+    }
+}
+
+/// Replicates the hottest experts into all free slots, then places the largest replicas first on
+/// the rank with the least load over speed.
+fn pack_layer(shape: Shape, demand: &[f64], speeds: &[f64]) -> Draft {
+    let ranks = usize::from(shape.ranks);
+    let slots = usize::from(shape.slots);
+    let counts = count_replicas(demand, ranks, slots);
+    let mut order: Vec<usize> = (0..demand.len()).collect();
+    order.sort_by(|a, b| {
+        let value = |e: usize| demand[e] / counts[e] as f64;
+        value(*b).total_cmp(&value(*a)).then(a.cmp(b))
+    });
+    let mut draft = Draft {
+        experts: vec![Vec::new(); demand.len()],
+        loads: vec![0.0; ranks],
+    };
+    let mut free = vec![slots; ranks];
+    for expert in order {
+        for _ in 0..counts[expert] {
+            let on = &draft.experts[expert];
+            let open = |r: &usize| free[*r] > 0 && on.iter().all(|p| usize::from(p.rank) != *r);
+            let level = |r: usize| draft.loads[r] / speeds[r];
+            let best = (0..ranks)
+                .filter(open)
+                .min_by(|a, b| level(*a).total_cmp(&level(*b)));
+            // A rank that already holds the expert may be the only one with a free slot.
+            let Some(rank) = best else { break };
+            let tokens = demand[expert] / counts[expert] as f64;
+            free[rank] -= 1;
+            draft.loads[rank] += tokens;
+            draft.experts[expert].push(Part {
+                rank: rank as u16,
+                tokens,
+            });
+        }
+    }
+    for (parts, tokens) in draft.experts.iter_mut().zip(demand) {
+        parts.sort_by_key(|p| p.rank);
+        let count = parts.len() as f64;
+        parts.iter_mut().for_each(|p| p.tokens = tokens / count);
+    }
+    draft.sum_loads();
+    draft.level(speeds, LEVEL_SWEEPS);
+    draft
+}
+
+/// Gives each spare slot to the expert with the most tokens a replica.
+fn count_replicas(demand: &[f64], ranks: usize, slots: usize) -> Vec<usize> {
+    let mut counts = vec![1; demand.len()];
+    let mut heap: BinaryHeap<Keyed> = demand
+        .iter()
+        .enumerate()
+        .map(|(e, d)| Keyed(*d, e))
+        .collect();
+    for _ in demand.len()..ranks * slots {
+        let Some(Keyed(_, expert)) = heap.pop() else {
+            break;
+        };
+        counts[expert] += 1;
+        if counts[expert] < ranks {
+            heap.push(Keyed(demand[expert] / counts[expert] as f64, expert));
+        }
+    }
+    counts
+}
+
+/// The loads between two maps.
+pub fn list_loads(old: &ExpertMap, new: &ExpertMap) -> Vec<Load> {
+    let mut loads = Vec::new();
+    for (layer, (before, after)) in old.layers.iter().zip(&new.layers).enumerate() {
+        for (expert, (had, has)) in before.experts.iter().zip(&after.experts).enumerate() {
+            for replica in has {
+                if had.iter().all(|r| r.rank != replica.rank) {
+                    loads.push(Load {
+                        layer: layer as u16,
+                        expert: expert as u16,
+                        rank: replica.rank,
+                        evicts: None,
+                    });
+                }
+            }
+        }
+    }
+    loads
+}
+
+/// Packs everything anew at every decision, whatever it costs.
+pub(crate) struct Replan;
+
+impl Policy for Replan {
+    fn name(&self) -> &'static str {
+        Kind::Replan.as_str()
+    }
+
+    fn decide(&mut self, view: &View<'_>) -> Decision {
+        let known = view.demand.intervals > 0;
+        let demand: Vec<Vec<f64>> = view.demand.layers.iter().map(|l| l.mean.clone()).collect();
+        let version = view.map.version.next();
+        let packed = pack_map(view.shape, &demand, &view.demand.speeds, version);
+        let (true, Ok(map)) = (known, packed) else {
+            return Decision {
+                change: None,
+                explanations: vec![Explanation::NoCounts],
+            };
+        };
+        let loads = list_loads(view.map, &map);
+        let mut ranks: Vec<u16> = loads.iter().map(|l| l.rank).collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        let cost = Cost {
+            bytes: loads.len() as u64 * view.expert_size.0,
+            ranks: ranks.len() as u32,
+            total: 0.0,
+        };
+        Decision {
+            change: Some(Change {
+                map,
+                loads,
+                gain: 0.0,
+                cost,
+            }),
+            explanations: vec![Explanation::Repacked],
+        }
+    }
+}
