Add the state machines of the expert map switch and the fence

Cause: nothing kept the ranks of a group on one expert map while it changes.

Change: crates/groups with the rank's side, the coordinator with takeover, the record that the engine's rank keeps, and the fence of engine commands. Member joins the two sides and is what an agent runs. Commit and abort are one message that names the last decided round and the newest committed switch.

Ruled out: separate commit and abort messages. An abort of all older rounds that overtakes a repeated commit would end a promise that is committed elsewhere. Separate commands for gate and schedule were ruled out too: an agent that dies between them would leave the gate open without the schedule.

--- /dev/null
+++ b/crates/groups/src/leader.rs
@@ -0,0 +1,121 @@
+//! What a coordinator keeps while it leads.
+
+use siskinbend_types::Fencing;
+use siskinbend_types::Time;
+
+use crate::message::Body;
+use crate::message::Decision;
+use crate::message::MapRef;
+use crate::message::RankIndex;
+use crate::message::RoundId;
+use crate::message::Switch;
+use crate::options::Options;
+use crate::timing::Backoff;
+use crate::timing::Estimate;
+
+/// A map on its way into force.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) map: MapRef,
+    pub(crate) plan: Vec<u8>,
+    pub(crate) fencing: Fencing,
+    /// Proposals that remain if the step turns out too near.
+    pub(crate) proposals: u32,
+}
+
+#[derive(Debug)]
+pub(crate) enum Phase {
+    Idle,
+    Preparing(Job),
+    Proposing(Job, Switch),
+    /// Every rank is to record the last decision; then the job, if any, is tried again.
+    Deciding(Option<Job>),
+}
+
+/// Ranks whose answer is awaited.
+#[derive(Debug)]
+pub(crate) struct Poll {
+    pub(crate) waiting: Vec<bool>,
+    pub(crate) left: usize,
+    pub(crate) since: Time,
+    pub(crate) backoff: Backoff,
+    pub(crate) repeats: u32,
+}
+
+impl Poll {
+    pub(crate) fn start(options: &Options, estimate: &Estimate, now: Time) -> Self {
+        let interval = (estimate.bound_trip() * 2).max(options.retry_floor);
+        let interval = interval.min(options.retry_cap);
+        Self {
+            waiting: vec![true; usize::from(options.ranks)],
+            left: usize::from(options.ranks),
+            since: now,
+            backoff: Backoff::start(interval, options.retry_cap, now),
+            repeats: 0,
+        }
+    }
+
+    /// Notes an answer and returns true if it was the last one awaited.
+    pub(crate) fn note(&mut self, from: RankIndex) -> bool {
+        let fresh = std::mem::replace(&mut self.waiting[from.slot()], false);
+        self.left -= usize::from(fresh);
+        fresh && self.left == 0
+    }
+
+    pub(crate) fn ranks(&self) -> impl Iterator<Item = RankIndex> {
+        let waiting = (0u16..).zip(&self.waiting);
+        waiting.filter(|(_, w)| **w).map(|(r, _)| RankIndex(r))
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Leader {
+    /// The newest round.
+    pub(crate) id: RoundId,
+    /// The last decided round.
+    pub(crate) upto: RoundId,
+    pub(crate) committed: Switch,
+    /// The commit has been recorded by every rank and reported.
+    pub(crate) reported: bool,
+    pub(crate) keep: bool,
+    pub(crate) phase: Phase,
+    pub(crate) poll: Poll,
+    pub(crate) deadline: Time,
+    pub(crate) beacon_due: Time,
+}
+
+impl Leader {
+    /// What the ranks are asked in this phase.
+    pub(crate) fn request(&self) -> Body {
+        match &self.phase {
+            Phase::Preparing(job) => Body::Prepare {
+                id: self.id,
+                map: job.map,
+                fencing: job.fencing,
+                plan: job.plan.clone(),
+            },
+            Phase::Proposing(_, switch) => Body::Propose { switch: *switch },
+            Phase::Idle | Phase::Deciding(_) => self.decision(),
+        }
+    }
+
+    pub(crate) fn decision(&self) -> Body {
+        Body::Decide(Decision {
+            ballot: self.id.ballot,
+            upto: self.upto,
+            committed: self.committed,
+            keep: self.keep,
+        })
+    }
+
+    /// The map whose switch is not settled.
+    pub(crate) fn unsettled(&self) -> Option<MapRef> {
+        match &self.phase {
+            Phase::Preparing(job) | Phase::Proposing(job, _) | Phase::Deciding(Some(job)) => {
+                Some(job.map)
+            }
+            Phase::Deciding(None) if !self.reported => Some(self.committed.map),
+            Phase::Deciding(None) | Phase::Idle => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/groups/src/member.rs
@@ -0,0 +1,212 @@
+//! One agent's part of a group: its rank, and the coordinator while this agent leads.
+
+use std::collections::VecDeque;
+
+use siskinbend_types::Fencing;
+use siskinbend_types::Incarnation;
+use siskinbend_types::Time;
+
+use crate::coordinator::Coordinator;
+use crate::engine::EngineState;
+use crate::engine::Write;
+use crate::message::BeginError;
+use crate::message::Body;
+use crate::message::Envelope;
+use crate::message::LoadFault;
+use crate::message::MapRef;
+use crate::message::Outcome;
+use crate::message::RankIndex;
+use crate::options::Options;
+use crate::rank::Rank;
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A message arrived.
+    Message(Envelope),
+    /// The engine's rank reported: after each step, and as the answer to each write.
+    Engine(EngineState),
+    /// The weights of a map are loaded.
+    WeightsLoaded(MapRef),
+    /// The weights of a map can't be loaded.
+    WeightsFailed(MapRef, LoadFault),
+    /// The time of the last [`Action::SetTimer`] has come.
+    Timer,
+}
+
+/// What the agent must do, in order.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Send a message to another agent of the group; it may be lost.
+    Send(Envelope),
+    /// Load the weights of a map beside the map in force, after the agent's fence admitted the
+    /// number. They replace other weights loaded beside the map in force.
+    LoadWeights {
+        /// The map.
+        map: MapRef,
+        /// Fencing number of the command.
+        fencing: Fencing,
+        /// The map's content.
+        plan: Vec<u8>,
+    },
+    /// Free the weights of a map that won't come into force.
+    DiscardWeights(MapRef),
+    /// Write the record of the engine's rank: it closes the step gate (a promise), opens it (no
+    /// promise) and schedules a map at a step (the committed switch). The engine's answer comes
+    /// back as [`Event::Engine`], whether the write was applied or refused.
+    WriteRecord(Write),
+    /// Raise [`Event::Timer`] at that time; replaces an earlier one.
+    SetTimer(Time),
+    /// Tell the agent about the group.
+    Report(Outcome),
+}
+
+/// State machine of one agent of a group.
+#[derive(Debug)]
+pub struct Member {
+    me: RankIndex,
+    incarnation: Incarnation,
+    options: Options,
+    life: Incarnation,
+    rank: Rank,
+    coordinator: Coordinator,
+    timer: Option<Time>,
+}
+
+impl Member {
+    /// Starts with the state read from the engine's rank after the agent's start.
+    pub fn start(
+        me: RankIndex,
+        incarnation: Incarnation,
+        options: Options,
+        state: EngineState,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> Self {
+        assert!(
+            me.0 < options.ranks,
+            "rank {me} in a group of {} ranks",
+            options.ranks
+        );
+        let mut actions = Vec::new();
+        let rank = Rank::start(me, incarnation, &options, state, now, &mut actions);
+        let coordinator = Coordinator::start(me, incarnation, &options, &state, now);
+        let mut member = Self {
+            me,
+            incarnation,
+            options,
+            life: state.life,
+            rank,
+            coordinator,
+            timer: None,
+        };
+        member.finish(actions, now, out);
+        member
+    }
+
+    /// Takes an event and appends what to do.
+    pub fn handle(&mut self, event: Event, now: Time, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        match event {
+            Event::Message(envelope) => self.deliver(envelope, now, &mut actions),
+            Event::Engine(state) if state.life != self.life => {
+                let (me, incarnation) = (self.me, self.incarnation);
+                *self = Self::start(me, incarnation, self.options.clone(), state, now, out);
+            }
+            Event::Engine(state) => {
+                self.rank.on_engine(state, now, &mut actions);
+                self.coordinator.note_step(state.step, now);
+            }
+            Event::WeightsLoaded(map) => self.rank.on_weights(map, None, &mut actions),
+            Event::WeightsFailed(map, fault) => {
+                self.rank.on_weights(map, Some(fault), &mut actions);
+            }
+            Event::Timer => {
+                self.timer = None;
+                self.rank.on_timer(now, &mut actions);
+                self.coordinator.on_timer(now, &mut actions);
+            }
+        }
+        self.finish(actions, now, out);
+    }
+
+    /// Begins a switch to a map if this agent leads the group.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no switch can begin now.
+    pub fn begin(
+        &mut self,
+        map: MapRef,
+        plan: Vec<u8>,
+        fencing: Fencing,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) -> Result<(), BeginError> {
+        let mut actions = Vec::new();
+        self.coordinator
+            .begin(map, plan, fencing, now, &mut actions)?;
+        self.finish(actions, now, out);
+        Ok(())
+    }
+
+    /// The rank's side.
+    pub fn rank(&self) -> &Rank {
+        &self.rank
+    }
+
+    /// Tells whether this agent leads the group.
+    pub fn is_leader(&self) -> bool {
+        self.coordinator.is_leader()
+    }
+
+    fn deliver(&mut self, envelope: Envelope, now: Time, out: &mut Vec<Action>) {
+        let Envelope {
+            life,
+            from,
+            to,
+            body,
+        } = envelope;
+        if life != self.life || to != self.me || from.0 >= self.options.ranks {
+            return;
+        }
+        let ballot = match &body {
+            Body::Query { ballot } | Body::Beacon { ballot } => Some(*ballot),
+            Body::Decide(decision) => Some(decision.ballot),
+            Body::Prepare { id, .. } => Some(id.ballot),
+            Body::Propose { switch } => Some(switch.id.ballot),
+            _ => None,
+        };
+        match ballot {
+            Some(ballot) => {
+                self.coordinator.observe(from, ballot, now, out);
+                self.rank.on_message(from, body, now, out);
+            }
+            None => self.coordinator.on_message(from, &body, now, out),
+        }
+    }
+
+    /// Delivers messages of this agent to itself and passes on everything else.
+    fn finish(&mut self, actions: Vec<Action>, now: Time, out: &mut Vec<Action>) {
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            match action {
+                Action::Send(envelope) if envelope.to == self.me => {
+                    let mut more = Vec::new();
+                    self.deliver(envelope, now, &mut more);
+                    queue.extend(more);
+                }
+                action => out.push(action),
+            }
+        }
+        self.coordinator.hold(self.rank.promise().is_some());
+        let due = self.rank.due().into_iter().chain(self.coordinator.due());
+        let due = due.min();
+        if due != self.timer
+            && let Some(at) = due
+        {
+            out.push(Action::SetTimer(at));
+        }
+        self.timer = due;
+    }
+}
