--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,5 +2,10 @@
 
 mod document;
 mod standins;
+mod history;
+mod lease;
+mod membership;
+mod operators;
+mod promotion;
 mod store;
 mod type_parsing;
