Keep the constants of the stand-ins' server at its top

Cause: one constant stood between two functions.

Change: moved, with its reason.

Ruled out: a constants module for the crate; each constant has one user.

Before and after: no change in behaviour; the 8 tests pass.

--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener as BlockingListener;
 use std::net::UdpSocket;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
@@ -25,6 +26,9 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Errors of the commands, as a sentence for the terminal.
 pub type BoxError = Box<dyn Error + Send + Sync>;
 
@@ -107,8 +111,6 @@
     }
 }
 
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
-
 /// Prints `count` ports of 127.0.0.1 that are free for both TCP and UDP, one a line.
 ///
 /// # Errors
