Keep rate limits, replace keys while running and probe silent agents

Cause: the document's rate limits were not enforced; a certificate could only be replaced by a restart; a call that may not be repeated and is dispatched to a frozen agent can only end as unknown.

Change: token buckets for each organisation at each entry, which takes its part by the number of entries that the agents see; changed key files are used for new connections; an agent that was silent for 1 s is probed before it gets such a call, so that the call is proved not sent and goes elsewhere; only the connecting side sends keep-alive packets, more rarely with more peers.

Ruled out: exact rates through the table service, because each request would need a write; closing old connections when keys change, because requests would be cut off.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod health;
 pub mod picker;
 pub mod policy;
+pub mod quota;
 pub mod report;
 pub mod subset;
 
@@ -23,4 +24,5 @@
 pub use picker::Wish;
 pub use policy::Kind;
 pub use policy::Policy;
+pub use quota::Quota;
 pub use report::Report;
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -100,6 +100,8 @@
     Tombstone => "tombstone", 409, "The attempt was cancelled before it arrived.";
     /// The agent's queue is full.
     QueueFull => "queue_full", 429, "The queue of the replica is full.";
+    /// The organisation sends more requests a second than it may.
+    RateLimited => "rate_limited", 429, "The organisation sends more requests a second than it may.";
     /// The organisation's share of the queue is used up.
     ShareExceeded => "share_exceeded", 429, "The organisation's share of the queue is used up.";
     /// The deadline passed, or can't be met.
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -8,14 +8,21 @@
 /// Longest payload of a frame in bytes; a peer that announces more is cut off.
 pub const PAYLOAD_BYTES: usize = 1 << 20;
 
-/// A connection without any packet for this long is lost.
+/// A connection to a few peers without any packet for this long is lost.
 ///
 /// A frozen peer must count as failed within 3 s.
 pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Interval of keep-alive packets; two may be lost before the idle timeout.
+/// Shortest interval of keep-alive packets; two may be lost before the idle timeout.
 pub const KEEP_ALIVE: Duration = Duration::from_millis(800);
 
+/// Share of the keep-alive interval that each peer adds, so that a process with many peers stays
+/// under 7 KB/s of control traffic: a keep-alive packet and its answer have about 110 bytes.
+pub const KEEP_ALIVE_PEER: Duration = Duration::from_millis(40);
+
+/// Longest silence that the accepting side allows; the connecting side asks for less.
+pub const ACCEPT_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Longest time for a handshake.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -47,6 +47,8 @@
     pub window: Window,
     /// The agent takes no new work.
     pub draining: bool,
+    /// Entries that are connected to the agent; each takes its part of the rate limits.
+    pub entries: u16,
     /// Load of its backend server.
     pub load: Load,
     /// Newest document version, if it knows one.
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -4,9 +4,13 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
 
 use displaydoc::Display;
 use quinn::ClientConfig;
+use quinn::Connecting;
 use quinn::Connection;
 use quinn::Endpoint;
 use quinn::IdleTimeout;
@@ -90,16 +94,17 @@
         tls.alpn_protocols = vec![limits::PROTOCOL.to_vec()];
         let quic = QuicServerConfig::try_from(tls).map_err(|e| keys(&e))?;
         let mut config = ServerConfig::with_crypto(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
+        config.transport_config(Arc::new(transport(limits::ACCEPT_TIMEOUT)));
         Ok(config)
     }
 
-    /// Builds the configuration for connecting to peers.
+    /// Builds the configuration for connecting to one of that many peers. Only the connecting
+    /// side sends keep-alive packets.
     ///
     /// # Errors
     ///
     /// Returns why certificate and key can't be used together.
-    pub fn to_client(&self) -> Result<ClientConfig, TransportError> {
+    pub fn to_client(&self, peers: usize) -> Result<ClientConfig, TransportError> {
         let keys = |e: &dyn std::fmt::Display| TransportError::Keys(e.to_string());
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let mut tls = rustls::ClientConfig::builder_with_provider(provider)
@@ -111,7 +116,10 @@
         tls.alpn_protocols = vec![limits::PROTOCOL.to_vec()];
         let quic = QuicClientConfig::try_from(tls).map_err(|e| keys(&e))?;
         let mut config = ClientConfig::new(Arc::new(quic));
-        config.transport_config(Arc::new(transport()));
+        let interval = keep_alive(peers);
+        let mut transport = transport((3 * interval).max(limits::IDLE_TIMEOUT));
+        transport.keep_alive_interval(Some(interval));
+        config.transport_config(Arc::new(transport));
         Ok(config)
     }
 }
@@ -130,12 +138,17 @@
     Ok(chain)
 }
 
-fn transport() -> TransportConfig {
+/// Interval of keep-alive packets of a process with that many peers.
+pub fn keep_alive(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    limits::KEEP_ALIVE.max(limits::KEEP_ALIVE_PEER.saturating_mul(peers))
+}
+
+fn transport(idle: Duration) -> TransportConfig {
     let mut config = TransportConfig::default();
-    let idle = u32::try_from(limits::IDLE_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let idle = u32::try_from(idle.as_millis()).unwrap_or(u32::MAX);
     config
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(idle))))
-        .keep_alive_interval(Some(limits::KEEP_ALIVE))
         .max_concurrent_bidi_streams(VarInt::from_u32(limits::STREAMS))
         .stream_receive_window(VarInt::from_u32(limits::STREAM_WINDOW))
         .receive_window(VarInt::from_u32(limits::CONNECTION_WINDOW));
@@ -150,7 +163,7 @@
 pub fn listen(address: SocketAddr, keys: &Keys) -> Result<Endpoint, TransportError> {
     let mut endpoint = Endpoint::server(keys.to_server()?, address)
         .map_err(|e| TransportError::Bind(address, e.to_string()))?;
-    endpoint.set_default_client_config(keys.to_client()?);
+    endpoint.set_default_client_config(keys.to_client(1)?);
     Ok(endpoint)
 }
 
@@ -162,20 +175,71 @@
 pub fn dial_only(address: SocketAddr, keys: &Keys) -> Result<Endpoint, TransportError> {
     let mut endpoint =
         Endpoint::client(address).map_err(|e| TransportError::Bind(address, e.to_string()))?;
-    endpoint.set_default_client_config(keys.to_client()?);
+    endpoint.set_default_client_config(keys.to_client(1)?);
     Ok(endpoint)
 }
 
+/// Connects to peers with keys that can be replaced.
+#[derive(Debug)]
+pub struct Dialer {
+    endpoint: Endpoint,
+    config: RwLock<ClientConfig>,
+}
+
+impl Dialer {
+    /// Connects over an endpoint, with keep-alive packets fit for that many peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the keys can't be used.
+    pub fn new(endpoint: Endpoint, keys: &Keys, peers: usize) -> Result<Self, TransportError> {
+        let config = RwLock::new(keys.to_client(peers)?);
+        Ok(Self { endpoint, config })
+    }
+
+    /// Uses other keys for new connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the keys can't be used; the old ones stay in use.
+    pub fn replace(&self, keys: &Keys, peers: usize) -> Result<(), TransportError> {
+        let config = keys.to_client(peers)?;
+        *self.config.write().unwrap_or_else(PoisonError::into_inner) = config;
+        Ok(())
+    }
+
+    /// Connects to a peer within [`limits::CONNECT_TIMEOUT`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the peer can't be reached or isn't trusted.
+    pub async fn connect(&self, to: SocketAddr) -> Result<Connection, TransportError> {
+        let config = self
+            .config
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let pending = self.endpoint.connect_with(config, to, limits::SERVER_NAME);
+        await_handshake(pending.map_err(|e| e.to_string()), to).await
+    }
+}
+
 /// Connects to a peer within [`limits::CONNECT_TIMEOUT`].
 ///
 /// # Errors
 ///
 /// Returns why the peer can't be reached or isn't trusted.
 pub async fn connect(endpoint: &Endpoint, to: SocketAddr) -> Result<Connection, TransportError> {
+    let pending = endpoint.connect(to, limits::SERVER_NAME);
+    await_handshake(pending.map_err(|e| e.to_string()), to).await
+}
+
+async fn await_handshake(
+    pending: Result<Connecting, String>,
+    to: SocketAddr,
+) -> Result<Connection, TransportError> {
     let failed = |e: &dyn std::fmt::Display| TransportError::Connect(to, e.to_string());
-    let pending = endpoint
-        .connect(to, limits::SERVER_NAME)
-        .map_err(|e| failed(&e))?;
+    let pending = pending.map_err(|e| failed(&e))?;
     match tokio::time::timeout(limits::CONNECT_TIMEOUT, pending).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) => Err(failed(&error)),
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -29,7 +29,6 @@
 use siskinbend_types::Time;
 use siskinbend_wire::Dispatch;
 use siskinbend_wire::Load;
-use siskinbend_wire::Newest;
 use siskinbend_wire::Status;
 
 /// Identifies an attempt at one agent.
@@ -114,7 +113,7 @@
         });
     }
 
-    pub(crate) fn status(&self, own: Incarnation, newest: Option<Newest>, now: Time) -> Status {
+    pub(crate) fn status(&self, own: Incarnation, now: Time) -> Status {
         let inner = self.lock();
         let report = inner.queue.report(now);
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
@@ -129,7 +128,8 @@
                 hold_ms: millis(report.hold),
                 idle_ms: millis(report.idle),
             },
-            newest,
+            entries: 0,
+            newest: None,
         }
     }
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -19,7 +19,6 @@
 use siskinbend_types::ServiceName;
 use siskinbend_wire::Dispatch;
 use siskinbend_wire::Hello;
-use siskinbend_wire::Keys;
 use siskinbend_wire::Status;
 use siskinbend_wire::TransportError;
 use siskinbend_wire::transport;
@@ -32,6 +31,7 @@
 use crate::clock::Clock;
 use crate::document;
 use crate::document::Active;
+use crate::keys;
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::platform;
@@ -101,8 +101,11 @@
     /// The state that rides on answers.
     pub(crate) fn status(&self) -> Status {
         let now = self.clock.now();
-        self.core
-            .status(self.incarnation, self.active.newest(), now)
+        Status {
+            entries: u16::try_from(self.spread.count_peers()).unwrap_or(u16::MAX),
+            newest: self.active.newest(),
+            ..self.core.status(self.incarnation, now)
+        }
     }
 
     fn hello(&self) -> Hello {
@@ -197,9 +200,15 @@
 pub async fn run(settings: settings::Agent) -> Result<(), AgentError> {
     let common = settings.common.clone();
     let active = Active::start(&common).map_err(AgentError::Document)?;
-    let keys = Keys::load(&common.ca, &common.cert, &common.key).map_err(AgentError::Transport)?;
+    let keys = keys::load(&common).map_err(AgentError::Transport)?;
     let endpoint = transport::listen(common.listen, &keys).map_err(AgentError::Transport)?;
     let agent = Agent::new(settings, active);
+    tokio::spawn(keys::watch(
+        common.clone(),
+        Some(endpoint.clone()),
+        None,
+        || 0,
+    ));
     agent
         .shutdown
         .watch_signals()
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -291,8 +291,7 @@
                 "attempt_retried"
             );
         }
-        let connection = self.entry.fleet.find_connection(&target.agent);
-        let stream = match connection {
+        let stream = match self.find_reachable(&target.agent).await {
             Some(connection) => connection.open_bi().await.ok(),
             None => None,
         };
@@ -322,6 +321,24 @@
         }
     }
 
+    /// The connection to an agent; for a call that may not be repeated only if the agent was heard
+    /// a moment ago or answers now.
+    async fn find_reachable(&self, agent: &AgentId) -> Option<Connection> {
+        let fleet = &self.entry.fleet;
+        let connection = fleet.find_connection(agent)?;
+        let silence = fleet.find_silence(agent, self.entry.clock.now())?;
+        if self.spec.idempotent || silence < limits::FRESH {
+            return Some(connection);
+        }
+        match exchange::ask(&connection, exchange::NO_REQUEST, &Message::Probe).await {
+            Some(Message::Report(status)) => {
+                fleet.observe(agent, &status, self.entry.clock.now());
+                Some(connection)
+            }
+            _ => None,
+        }
+    }
+
     fn build_dispatch(&self, attempt: Attempt, target: &Target) -> Vec<Message> {
         let left = self.spec.deadline.since(self.entry.clock.now());
         let mut messages = vec![Message::Dispatch(Dispatch {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use quinn::Connection;
-use quinn::Endpoint;
 
 use siskinbend_control::membership::Listed;
 use siskinbend_control::membership::Membership;
+use siskinbend_document::Document;
 use siskinbend_request::Action;
 use siskinbend_request::Call;
 use siskinbend_request::Event;
@@ -21,6 +21,7 @@
 use siskinbend_request::Target;
 use siskinbend_routing::Done;
 use siskinbend_routing::Picker;
+use siskinbend_routing::Quota;
 use siskinbend_routing::Report;
 use siskinbend_routing::Seen;
 use siskinbend_routing::Wish;
@@ -28,6 +29,8 @@
 use siskinbend_store::Vm;
 use siskinbend_store::VmState;
 use siskinbend_types::AgentId;
+use siskinbend_types::Organisation;
+use siskinbend_types::Rate;
 use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
@@ -35,6 +38,7 @@
 use siskinbend_wire::Hello;
 use siskinbend_wire::Load;
 use siskinbend_wire::Status;
+use siskinbend_wire::transport::Dialer;
 
 use super::link;
 use crate::limits;
@@ -54,28 +58,34 @@
 struct Link {
     connection: Connection,
     hello: Hello,
+    status: Status,
+    heard: Time,
+    /// The platform's list says that its VM is leaving.
+    leaving: bool,
 }
 
 /// All agents that this entry knows.
 pub(crate) struct Fleet {
-    pub(crate) endpoint: Endpoint,
+    pub(crate) dialer: Arc<Dialer>,
     zone: Zone,
     /// Agents of the settings, which are never forgotten.
     fixed: Vec<SocketAddr>,
     pools: Mutex<BTreeMap<ServiceName, Pool>>,
     links: Mutex<HashMap<AgentId, Link>>,
     membership: Mutex<Membership>,
+    quota: Mutex<Quota>,
 }
 
 impl Fleet {
-    pub(crate) fn new(endpoint: Endpoint, zone: Zone, fixed: Vec<SocketAddr>) -> Self {
+    pub(crate) fn new(dialer: Arc<Dialer>, zone: Zone, fixed: Vec<SocketAddr>) -> Self {
         Self {
-            endpoint,
+            dialer,
             zone,
             fixed,
             pools: Mutex::default(),
             links: Mutex::default(),
             membership: Mutex::default(),
+            quota: Mutex::default(),
         }
     }
 
@@ -124,19 +134,23 @@
 
     /// Stops choosing agents whose VM is leaving, without waiting for their next report.
     fn apply_leaving(&self, now: Time) {
-        let links: Vec<Link> = Self::lock(&self.links).values().cloned().collect();
-        for link in links {
-            if self.is_leaving(&link) {
-                self.observe(&link.hello.agent, &link.hello.status, now);
+        let membership = Self::lock(&self.membership);
+        let leaves = |link: &Link| {
+            let member = membership.find(link.connection.remote_address());
+            member.is_some_and(|m| m.leaving)
+        };
+        let mut links = Self::lock(&self.links);
+        let mut changed = Vec::new();
+        for (agent, link) in links.iter_mut() {
+            if leaves(link) != link.leaving {
+                link.leaving = !link.leaving;
+                changed.push((agent.clone(), link.status));
             }
         }
-    }
-
-    fn is_leaving(&self, link: &Link) -> bool {
-        let membership = Self::lock(&self.membership);
-        membership
-            .find(link.connection.remote_address())
-            .is_some_and(|m| m.leaving)
+        drop((links, membership));
+        for (agent, status) in changed {
+            self.observe(&agent, &status, now);
+        }
     }
 
     /// Tells whether an address is still worth connecting to.
@@ -147,10 +161,18 @@
     /// Adds a connected agent.
     pub(crate) fn add(&self, connection: &Connection, hello: &Hello, opened: Time, now: Time) {
         let report = link::build_report(connection.remote_address(), hello, &hello.status, opened);
-        Self::lock(&self.membership).take_report(report, now);
+        let leaving = {
+            let mut membership = Self::lock(&self.membership);
+            membership.take_report(report, now);
+            let member = membership.find(connection.remote_address());
+            member.is_some_and(|m| m.leaving)
+        };
         let link = Link {
             connection: connection.clone(),
             hello: hello.clone(),
+            status: hello.status,
+            heard: now,
+            leaving,
         };
         Self::lock(&self.links).insert(hello.agent.clone(), link);
     }
@@ -183,6 +205,33 @@
         });
     }
 
+    /// Takes a request into account; false if the organisation has used up its rate.
+    pub(crate) fn admit(&self, who: &Organisation, rate: Rate, now: Time) -> bool {
+        let entries = Self::lock(&self.links)
+            .values()
+            .map(|l| l.status.entries)
+            .max();
+        Self::lock(&self.quota).admit(who, rate, entries.unwrap_or(1), now)
+    }
+
+    /// Forgets the rates of organisations that are no longer in the document.
+    pub(crate) fn retain_organisations(&self, document: &Document) {
+        let known = |who: &Organisation| document.organisations.iter().any(|o| o.name == *who);
+        Self::lock(&self.quota).retain(known);
+    }
+
+    /// Number of connected agents.
+    pub(crate) fn count_links(&self) -> usize {
+        Self::lock(&self.links).len()
+    }
+
+    /// Time since an agent was last heard; `None` if it isn't connected.
+    pub(crate) fn find_silence(&self, agent: &AgentId, now: Time) -> Option<Duration> {
+        Self::lock(&self.links)
+            .get(agent)
+            .map(|link| now.since(link.heard))
+    }
+
     /// The connection to an agent.
     pub(crate) fn find_connection(&self, agent: &AgentId) -> Option<Connection> {
         Self::lock(&self.links)
@@ -192,18 +241,24 @@
 
     /// Takes in the status of an agent.
     pub(crate) fn observe(&self, agent: &AgentId, status: &Status, now: Time) {
-        let Some(link) = Self::lock(&self.links).get(agent).cloned() else {
-            return;
-        };
-        let seen = Seen {
-            incarnation: status.incarnation,
-            window: status.window,
-            zone: link.hello.zone.clone(),
-            draining: status.draining || self.is_leaving(&link),
-            report: to_report(&status.load),
-            age: Duration::ZERO,
+        let (service, seen) = {
+            let mut links = Self::lock(&self.links);
+            let Some(link) = links.get_mut(agent) else {
+                return;
+            };
+            link.heard = now;
+            link.status = *status;
+            let seen = Seen {
+                incarnation: status.incarnation,
+                window: status.window,
+                zone: link.hello.zone.clone(),
+                draining: status.draining || link.leaving,
+                report: to_report(&status.load),
+                age: Duration::ZERO,
+            };
+            (link.hello.service.clone(), seen)
         };
-        self.with_pool(&link.hello.service, |pool| {
+        self.with_pool(&service, |pool| {
             pool.picker.observe(agent, seen, now);
         });
     }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -23,6 +23,7 @@
 
 use siskinbend_document::Document;
 use siskinbend_document::OnOutage as RouteOutage;
+use siskinbend_document::Organisation;
 use siskinbend_document::Route;
 use siskinbend_document::Service;
 use siskinbend_document::ServiceKind;
@@ -30,7 +31,6 @@
 use siskinbend_request::OnOutage;
 use siskinbend_request::Spec;
 use siskinbend_types::Digest;
-use siskinbend_types::Organisation;
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
 use siskinbend_types::RequestId;
@@ -47,7 +47,7 @@
 
 /// What the path and the token say about a request.
 struct Target<'doc> {
-    organisation: Organisation,
+    organisation: &'doc Organisation,
     service: &'doc Service,
     route: &'doc Route,
     /// Path at the backend server, with the query.
@@ -89,6 +89,14 @@
     let document = entry.active.document().ok_or(Reason::NoDocument)?;
     let (parts, body) = request.into_parts();
     let target = find_target(&document, &parts)?;
+    let now = entry.clock.now();
+    if !entry.fleet.admit(
+        &target.organisation.name,
+        target.organisation.rate_limit,
+        now,
+    ) {
+        return Err(Reason::RateLimited);
+    }
     let priority = read_header(&parts.headers, "siskinbend-priority")?.unwrap_or_default();
     let timeout = read_timeout(&parts.headers, target.route)?;
     let deadline = entry.clock.now() + timeout;
@@ -97,7 +105,7 @@
     let prefix = matches!(target.service.kind, ServiceKind::Model).then(|| hash_prefix(&body));
     let spec = Spec {
         id,
-        organisation: target.organisation,
+        organisation: target.organisation.name.clone(),
         service: target.service.name.clone(),
         idempotent: target.route.idempotent,
         key,
@@ -142,7 +150,7 @@
         None => format_smolstr!("/v1{path}"),
     };
     Ok(Target {
-        organisation: organisation.name.clone(),
+        organisation,
         service,
         route,
         path,
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -16,7 +16,6 @@
 use siskinbend_wire::Receiver;
 use siskinbend_wire::Sender;
 use siskinbend_wire::Status;
-use siskinbend_wire::transport;
 
 use super::Entry;
 use crate::exchange;
@@ -27,7 +26,7 @@
 pub(super) async fn keep(entry: Arc<Entry>, address: SocketAddr) {
     let mut pause = limits::RECONNECT_MIN;
     while entry.fleet.is_wanted(address) {
-        match transport::connect(&entry.fleet.endpoint, address).await {
+        match entry.fleet.dialer.connect(address).await {
             Ok(connection) => {
                 let error = hold(&entry, &connection).await;
                 log::warn!(address:% = address, error:% = error; "agent_lost");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,14 +12,13 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
-use quinn::Endpoint;
 use tokio_util::task::TaskTracker;
 
 use siskinbend_store::Client;
 use siskinbend_types::Incarnation;
-use siskinbend_wire::Keys;
 use siskinbend_wire::TransportError;
 use siskinbend_wire::transport;
+use siskinbend_wire::transport::Dialer;
 
 use self::fleet::Fleet;
 use crate::admin;
@@ -28,6 +27,7 @@
 use crate::clock::Clock;
 use crate::document;
 use crate::document::Active;
+use crate::keys;
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::platform;
@@ -95,7 +95,7 @@
     }
 }
 
-fn build(settings: settings::Entry, active: Active, endpoint: Endpoint) -> Arc<Entry> {
+fn build(settings: settings::Entry, active: Active, dialer: Arc<Dialer>) -> Arc<Entry> {
     let common = &settings.common;
     let clock = Clock::start();
     let metrics = Arc::new(Metrics::default());
@@ -120,7 +120,7 @@
         .iter()
         .map(|(_, address)| *address)
         .collect();
-    let fleet = Fleet::new(endpoint, common.zone.clone(), fixed);
+    let fleet = Fleet::new(dialer, common.zone.clone(), fixed);
     Arc::new(Entry {
         clock,
         incarnation: Incarnation(rand::random()),
@@ -142,6 +142,9 @@
     };
     vms::watch(store, limits::ENTRY_LIST_INTERVAL, |list| {
         entry.spread.set_nodes(list.len());
+        if let Some(document) = entry.active.document() {
+            entry.fleet.retain_organisations(&document);
+        }
         for address in entry.fleet.take_list(list, entry.clock.now()) {
             tokio::spawn(link::keep(Arc::clone(&entry), address));
         }
@@ -157,10 +160,15 @@
 pub async fn run(settings: settings::Entry) -> Result<(), EntryError> {
     let common = settings.common.clone();
     let active = Active::start(&common).map_err(EntryError::Document)?;
-    let keys = Keys::load(&common.ca, &common.cert, &common.key).map_err(EntryError::Transport)?;
+    let keys = keys::load(&common).map_err(EntryError::Transport)?;
     let local = std::net::SocketAddr::new(common.listen.ip(), 0);
     let endpoint = transport::dial_only(local, &keys).map_err(EntryError::Transport)?;
-    let entry = build(settings, active, endpoint.clone());
+    let dialer = Dialer::new(endpoint.clone(), &keys, settings.agents.len());
+    let dialer = Arc::new(dialer.map_err(EntryError::Transport)?);
+    let entry = build(settings, active, Arc::clone(&dialer));
+    let counted = Arc::clone(&entry);
+    let count_peers = move || counted.fleet.count_links();
+    tokio::spawn(keys::watch(common.clone(), None, Some(dialer), count_peers));
     entry
         .shutdown
         .watch_signals()
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -74,3 +74,10 @@
 
 /// Interval at which an agent reads the platform's VM list, before jitter.
 pub const AGENT_LIST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval at which changed certificate and key files are looked for.
+pub const KEYS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// An agent that was silent for longer is probed before it gets a call that may not be repeated:
+/// a dispatch to a frozen agent could only end as `unknown`.
+pub const FRESH: Duration = Duration::from_secs(1);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod operators;
 mod promotion;
+mod rate_limits;
 mod standins;
 mod store;
 mod type_parsing;
