Choose replicas by corrected load and queue fairly by organisation

Cause: late reports make entries send to the same replica, and one large organisation could fill every queue.

Change: load correction by own work since the report, prefix affinity by rendezvous hashing with bounded load, own zone first, ejection with a cap and gradual readmission, start-time fair queueing with a dynamic share of the queue, early refusal by deadline, and the experiment `routing`.

Ruled out: a fixed share of the queue for each organisation, because one active organisation could then use only a tenth of it.

--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -1,23 +1,97 @@
 //! Measures the latency and shed share of each replica choice policy.
 
+mod fleet;
+mod plot;
+mod trace;
+
+use std::path::PathBuf;
+
 use bpaf::Bpaf;
 
+use siskinbend_routing::Kind;
+
+use fleet::Fleet;
+use fleet::Tally;
+use trace::Case;
+use trace::Senders;
+use trace::Trace;
+
 /// Options of the experiment.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Options {
     /// Seed of every random choice; the same seed gives the same output
     #[bpaf(argument("N"))]
     pub seed: u64,
+    /// Writes a chart of latency against load to this SVG file
+    #[bpaf(argument("FILE"))]
+    pub plot: Option<PathBuf>,
+}
+
+/// One line of the output.
+struct Row {
+    policy: Kind,
+    case: Case,
+    tally: Tally,
+    /// p99 time to first token of the small organisations with the large one absent.
+    alone: Option<u64>,
 }
 
 /// Runs the experiment and returns one line per variant, baseline first.
 ///
 /// # Errors
 ///
-/// Returns a sentence if the options don't fit together.
+/// Returns a sentence if the chart can't be written.
 pub fn run(options: &Options) -> Result<Vec<String>, String> {
-    Err(format!(
-        "the experiment routing isn't built yet (seed {})",
-        options.seed
-    ))
+    let mut rows = Vec::new();
+    for case in Case::all() {
+        for policy in Kind::ALL {
+            rows.push(measure(policy, case, options.seed));
+        }
+    }
+    if let Some(file) = &options.plot {
+        plot::draw(&rows, file)?;
+    }
+    Ok(rows.iter().map(format_row).collect())
+}
+
+fn measure(policy: Kind, case: Case, seed: u64) -> Row {
+    let tally = Fleet::new(policy, case.fault, seed).run(Trace::draw(&case, seed));
+    let alone = (case.senders == Senders::OneLarge).then(|| {
+        let without = Case {
+            senders: Senders::SmallOnly,
+            ..case
+        };
+        let tally = Fleet::new(policy, case.fault, seed).run(Trace::draw(&without, seed));
+        tally.small.value_at_quantile(0.99)
+    });
+    Row {
+        policy,
+        case,
+        tally,
+        alone,
+    }
+}
+
+fn format_row(row: &Row) -> String {
+    let tally = &row.tally;
+    let small = tally.small.value_at_quantile(0.99);
+    let (small, alone) = match row.alone {
+        Some(alone) => (small.to_string(), alone.to_string()),
+        None => ("-".to_owned(), "-".to_owned()),
+    };
+    format!(
+        "policy={} load={} scenario={} ttft_p50_us={} ttft_p99_us={} shed={:.4} prefix_hit={:.4} \
+         unevenness={:.3} goodput={:.4} retries={:.4} small_p99_us={small} \
+         small_alone_p99_us={alone}",
+        row.policy.as_str(),
+        row.case.load,
+        row.case.name,
+        tally.first.value_at_quantile(0.5),
+        tally.first.value_at_quantile(0.99),
+        tally.shed_share(),
+        tally.hit_share(),
+        tally.mean_unevenness(),
+        tally.goodput(),
+        tally.retry_share(),
+    )
 }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -1,4 +1,8 @@
 //! The agent's bounded queue, fair between organisations.
+//!
+//! Organisations take turns by start-time fair queueing. Within an organisation the more urgent
+//! request goes first. Between organisations urgency is worth a head start of a few requests, so
+//! marking all work as interactive doesn't take service away from others.
 
 use std::time::Duration;
 
@@ -8,6 +12,15 @@
 use siskinbend_types::Time;
 
 use crate::Report;
+use crate::tenant::Tenant;
+use crate::tenant::Waiting;
+
+/// Weight of a new sample in the smoothed hold time and cost.
+const SMOOTHING: f64 = 0.05;
+/// An organisation without requests for this long no longer counts as active.
+const ACTIVE_FOR: Duration = Duration::from_secs(10);
+/// Head start, in mean requests, of one priority over the next between organisations.
+const HEAD_START: f64 = 2.0;
 
 /// Weight of one organisation.
 #[derive(Debug, Clone)]
@@ -23,6 +36,8 @@
 pub struct Settings {
     /// Requests that the backend server runs at a time.
     pub slots: u32,
+    /// Slots that an organisation above its fair share leaves to the others.
+    pub reserve: u32,
     /// Requests that may wait.
     pub limit: usize,
     /// Weights of organisations; one that isn't listed has weight 1.
@@ -35,6 +50,7 @@
     fn default() -> Self {
         Self {
             slots: 8,
+            reserve: 0,
             limit: 64,
             weights: Vec::new(),
             ageing: Duration::from_secs(2),
@@ -79,20 +95,19 @@
     pub late: Vec<T>,
 }
 
-struct Waiting<T> {
-    place: Place,
-    item: T,
-    ticket: Ticket,
-    since: Time,
-}
-
 /// Requests that wait for a slot of the backend server.
+#[derive(Debug)]
 pub struct Queue<T> {
     settings: Settings,
-    waiting: Vec<Waiting<T>>,
+    tenants: Vec<Tenant<T>>,
     running: u32,
     next: u64,
-    hold: Duration,
+    /// Virtual time: the start tag of the request that was last taken.
+    virtual_now: f64,
+    /// Smoothed time that a request held its slot, in seconds; zero until one finishes.
+    hold: f64,
+    /// Smoothed cost of a request.
+    cost: f64,
     progress: Time,
 }
 
@@ -101,16 +116,21 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            waiting: Vec::new(),
+            tenants: Vec::new(),
             running: 0,
             next: 0,
-            hold: Duration::ZERO,
+            virtual_now: 0.0,
+            hold: 0.0,
+            cost: 0.0,
             progress: Time::default(),
         }
     }
 
     /// Replaces the limits; requests that already wait stay.
     pub fn configure(&mut self, settings: Settings) {
+        for tenant in &mut self.tenants {
+            tenant.weight = weigh(&settings, &tenant.organisation);
+        }
         self.settings = settings;
     }
 
@@ -120,46 +140,104 @@
     ///
     /// `QueueFull`, `ShareExceeded` or `Deadline`; the item is dropped and was not run.
     pub fn offer(&mut self, item: T, ticket: Ticket, now: Time) -> Result<Place, Reason> {
-        if self.waiting.len() >= self.settings.limit {
+        let Ticket {
+            organisation,
+            priority,
+            deadline,
+            cost,
+        } = ticket;
+        let queued = self.queued();
+        let own = self.open(organisation, now);
+        // A wait can only be estimated for a request that finds others before it. One that finds
+        // a free slot is taken even if others lately took longer than its deadline allows.
+        let waits = queued > 0 || self.running >= self.settings.slots;
+        let wait = if waits {
+            self.estimate_wait(own, queued)
+        } else {
+            Duration::ZERO
+        };
+        let hold = if waits {
+            self.expect_hold()
+        } else {
+            Duration::ZERO
+        };
+        if deadline.is_some_and(|d| now + wait + hold >= d) {
+            return Err(Reason::Deadline);
+        }
+        if queued >= self.settings.limit {
             return Err(Reason::QueueFull);
         }
+        if waits && self.exceeds_share(own, queued) {
+            return Err(Reason::ShareExceeded);
+        }
+        let cost = f64::from(cost.max(1));
+        self.cost = if self.cost == 0.0 {
+            cost
+        } else {
+            smooth(self.cost, cost)
+        };
         self.next += 1;
-        let place = Place(self.next);
-        self.waiting.push(Waiting {
+        let place = self.next;
+        let virtual_now = self.virtual_now;
+        let waiting = Waiting {
             place,
             item,
-            ticket,
+            deadline: ticket.deadline,
+            cost,
             since: now,
-        });
-        Ok(place)
+        };
+        self.tenants[own].push(priority, waiting, virtual_now);
+        assert!(
+            self.queued() <= self.settings.limit,
+            "queue over its limit at place {place}"
+        );
+        Ok(Place(place))
     }
 
     /// Takes the next request if a slot is free, and the requests that would be late.
+    ///
+    /// Call it after every `offer` and `finished` until `run` is empty, and at a timer of about
+    /// 100 ms, because a request may become late while nothing else happens.
     pub fn take(&mut self, now: Time) -> Taken<T> {
+        // Under contention a slot goes only to a request that can also end in time.
+        let free = self.settings.slots.saturating_sub(self.running) as usize;
+        let margin = if self.queued() > free {
+            self.expect_hold()
+        } else {
+            Duration::ZERO
+        };
         let mut late = Vec::new();
-        while let Some(at) = self
-            .waiting
-            .iter()
-            .position(|w| w.ticket.deadline.is_some_and(|d| d <= now))
-        {
-            late.push(self.waiting.remove(at).item);
+        for tenant in &mut self.tenants {
+            tenant.drop_late(now + margin, &mut late);
         }
-        if self.waiting.is_empty() || self.running >= self.settings.slots {
+        let Some(next) = self.find_next(now) else {
             return Taken { run: None, late };
-        }
-        let first = self.waiting.remove(0);
+        };
+        let virtual_now = self.virtual_now.max(self.tenants[next].start);
+        let Some((waiting, _)) = self.tenants[next].pop(now, self.settings.ageing) else {
+            return Taken { run: None, late };
+        };
+        self.virtual_now = virtual_now;
+        let mean = self.hold;
+        self.tenants[next].charge(waiting.cost, mean, now);
         if self.running == 0 {
             self.progress = now;
         }
         self.running += 1;
-        let waited = now.since(first.since);
-        let organisation = first.ticket.organisation;
+        assert!(
+            self.running <= self.settings.slots,
+            "{} requests run in {} slots",
+            self.running,
+            self.settings.slots
+        );
+        let organisation = self.tenants[next].organisation.clone();
+        let run = Run {
+            item: waiting.item,
+            organisation,
+            waited: now.since(waiting.since),
+        };
         Taken {
-            run: Some(Run {
-                item: first.item,
-                organisation,
-                waited,
-            }),
+            run: Some(run),
             late,
         }
     }
@@ -171,12 +249,29 @@
             "{organisation} finished a request but none was running"
         );
         self.running -= 1;
-        self.hold = if self.hold.is_zero() {
+        self.progress = now;
+        let spent = spent.as_secs_f64();
+        self.hold = if self.hold == 0.0 {
             spent
         } else {
-            (self.hold * 7 + spent) / 8
+            smooth(self.hold, spent)
+        };
+        let found = self
+            .tenants
+            .iter_mut()
+            .find(|t| &t.organisation == organisation);
+        let tenant = found.expect("an organisation stays known while it has running requests");
+        assert!(
+            tenant.running > 0,
+            "{organisation} finished a request but had none running"
+        );
+        tenant.running -= 1;
+        tenant.seen = now;
+        tenant.hold = if tenant.hold == 0.0 {
+            spent
+        } else {
+            smooth(tenant.hold, spent)
         };
-        self.progress = now;
     }
 
     /// Notes that the backend server produced something.
@@ -186,17 +281,26 @@
 
     /// Takes a waiting request out, for example because it was cancelled.
     pub fn remove(&mut self, place: Place) -> Option<T> {
-        let at = self.waiting.iter().position(|w| w.place == place)?;
-        Some(self.waiting.remove(at).item)
+        self.tenants.iter_mut().find_map(|t| t.remove(place.0))
+    }
+
+    /// Takes all waiting requests out, for example because the agent drains.
+    pub fn clear(&mut self) -> Vec<T> {
+        self.tenants.iter_mut().flat_map(Tenant::clear).collect()
+    }
+
+    /// Number of requests that wait.
+    pub fn queued(&self) -> usize {
+        self.tenants.iter().map(Tenant::queued).sum()
     }
 
     /// The load now.
     pub fn report(&self, now: Time) -> Report {
         Report {
             running: self.running,
-            queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            queued: u32::try_from(self.queued()).unwrap_or(u32::MAX),
             slots: self.settings.slots,
-            hold: self.hold,
+            hold: Duration::from_secs_f64(self.hold),
             idle: if self.running == 0 {
                 Duration::ZERO
             } else {
@@ -204,4 +308,94 @@
             },
         }
     }
+
+    /// The position of an organisation, which becomes active; long inactive ones are forgotten.
+    fn open(&mut self, organisation: Organisation, now: Time) -> usize {
+        self.tenants
+            .retain(|t| !t.is_idle() || now.since(t.seen) < ACTIVE_FOR);
+        let found = self
+            .tenants
+            .iter()
+            .position(|t| t.organisation == organisation);
+        let own = found.unwrap_or_else(|| {
+            let weight = weigh(&self.settings, &organisation);
+            self.tenants.push(Tenant::new(organisation, weight));
+            self.tenants.len() - 1
+        });
+        self.tenants[own].seen = now;
+        own
+    }
+
+    /// The organisation whose request goes next, if one may run.
+    fn find_next(&self, now: Time) -> Option<usize> {
+        let free = self.settings.slots.saturating_sub(self.running);
+        if free == 0 {
+            return None;
+        }
+        let key = |tenant: &Tenant<T>| {
+            let class = tenant.first_class(now, self.settings.ageing)?;
+            let penalty = f64::from(class) * HEAD_START * self.cost / self.total_weight();
+            Some(tenant.start.max(self.virtual_now) + penalty)
+        };
+        let may_run = |t: &Tenant<T>| free > self.settings.reserve || !self.is_above_share(t);
+        let ready = self.tenants.iter().enumerate().filter(|(_, t)| may_run(t));
+        let keyed = ready.filter_map(|(at, t)| Some((key(t)?, at)));
+        keyed.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, at)| at)
+    }
+
+    fn total_weight(&self) -> f64 {
+        self.tenants.iter().map(|t| t.weight).sum()
+    }
+
+    /// Tells whether an organisation runs more than its share of the slots.
+    fn is_above_share(&self, tenant: &Tenant<T>) -> bool {
+        let share = f64::from(self.settings.slots) * tenant.weight / self.total_weight();
+        f64::from(tenant.running) >= share && tenant.weight < self.total_weight()
+    }
+
+    /// Tells whether an organisation holds more waiting requests than the free room times its
+    /// weight relative to the mean. This leaves room for organisations that come later, and one
+    /// organisation alone can use half of the queue.
+    fn exceeds_share(&self, own: usize, queued: usize) -> bool {
+        let room = self.settings.limit.saturating_sub(queued) as f64;
+        let mean = self.total_weight() / self.tenants.len() as f64;
+        let most = (room * self.tenants[own].weight / mean).max(1.0);
+        self.tenants[own].queued() as f64 >= most
+    }
+
+    /// How long a new request of an organisation would wait: its own queue at its share of the
+    /// service, but not longer than everything that waits.
+    fn estimate_wait(&self, own: usize, queued: usize) -> Duration {
+        let tenant = &self.tenants[own];
+        let busy: f64 = self
+            .tenants
+            .iter()
+            .filter(|t| t.queued() > 0)
+            .map(|t| t.weight)
+            .sum();
+        let others = if tenant.queued() > 0 {
+            busy
+        } else {
+            busy + tenant.weight
+        };
+        let turns = (tenant.queued() + 1) as f64 * others / tenant.weight;
+        let ahead = turns.min(queued as f64 + 1.0);
+        Duration::from_secs_f64(ahead * self.hold / f64::from(self.settings.slots.max(1)))
+    }
+
+    fn expect_hold(&self) -> Duration {
+        Duration::from_secs_f64(self.hold)
+    }
+}
+
+fn weigh(settings: &Settings, organisation: &Organisation) -> f64 {
+    let listed = settings
+        .weights
+        .iter()
+        .find(|w| &w.organisation == organisation);
+    f64::from(listed.map_or(1, |w| w.weight.max(1)))
+}
+
+fn smooth(mean: f64, sample: f64) -> f64 {
+    mean + (sample - mean) * SMOOTHING
 }
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use serde::Serialize;
 use siskinbend_types::AgentId;
 use siskinbend_types::Incarnation;
 use siskinbend_types::Reason;
@@ -12,19 +11,29 @@
 use siskinbend_types::Window;
 use siskinbend_types::Zone;
 
+use crate::Explanation;
 use crate::Kind;
 use crate::Policy;
+use crate::Replica;
 use crate::Report;
+use crate::Verdict;
 use crate::health;
-use crate::health::Health;
+use crate::health::Cause;
 use crate::policy::Candidate;
+use crate::policy::Tuning;
 use crate::subset::stable_hash;
 
+/// Longest gap between two calls of `to_probe` after which silence says nothing: the entry itself
+/// was paused and the answers may still be unread.
+const LONGEST_GAP: Duration = Duration::from_secs(1);
+
 /// Options of a picker.
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
     /// The policy.
     pub policy: Kind,
+    /// Parameters of siskinbend's own policy.
+    pub tuning: Tuning,
     /// Limits of the health checks.
     pub health: health::Settings,
 }
@@ -46,30 +55,6 @@
     pub age: Duration,
 }
 
-/// One replica as this entry sees it.
-#[derive(Debug, Clone)]
-pub struct Replica {
-    /// The replica's agent.
-    pub agent: AgentId,
-    /// The agent's newest known incarnation.
-    pub incarnation: Incarnation,
-    /// The agent's newest known dispatch window.
-    pub window: Window,
-    /// The agent's availability zone.
-    pub zone: Zone,
-    /// Whether the agent is leaving.
-    pub draining: bool,
-    /// The newest load report.
-    pub report: Report,
-    /// When the agent was last heard.
-    pub heard: Time,
-    /// Attempts of this entry that have not ended.
-    pub outstanding: u32,
-    /// Record of failures.
-    pub health: Health,
-    probed: Option<Time>,
-}
-
 /// What a request asks of the replica.
 #[derive(Debug, Clone, Default)]
 pub struct Wish {
@@ -108,99 +93,47 @@
     Cancelled,
 }
 
-/// Why a replica is or isn't chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, displaydoc::Display)]
-#[serde(rename_all = "snake_case")]
-pub enum Verdict {
-    /// it takes requests
-    Usable,
-    /// it takes a growing share of requests after an ejection
-    Readmitted,
-    /// it is leaving
-    Draining,
-    /// it does not answer probes
-    Silent,
-    /// its backend server makes no progress
-    Stalled,
-    /// it failed several times in a row
-    Failed,
-    /// it is much slower than the others
-    Slow,
-    /// it was restarted and has not been heard since
-    Restarted,
-}
-
-/// One replica on the status page.
-#[derive(Debug, Clone, Serialize)]
-pub struct Explanation {
-    /// The replica's agent.
-    pub agent: AgentId,
-    /// Its availability zone.
-    pub zone: Zone,
-    /// Why it is or isn't chosen.
-    pub verdict: Verdict,
-    /// Share of its slots in use or waited for, as this entry estimates it.
-    pub load: f64,
-    /// Attempts of this entry that have not ended.
-    pub outstanding: u32,
-    /// The newest load report.
-    pub report: Report,
-    /// Time since the agent was last heard, in milliseconds.
-    pub heard_ms: u64,
-}
-
 /// The replicas of one service as one entry sees them.
 pub struct Picker {
     settings: Settings,
     own_zone: Zone,
     policy: Box<dyn Policy>,
     replicas: BTreeMap<AgentId, Replica>,
+    ticked: Time,
 }
 
 impl Picker {
     /// A picker that knows no replica yet.
     pub fn new(settings: Settings, own_zone: Zone) -> Self {
-        let policy = settings.policy.build();
+        let policy = settings.policy.build(settings.tuning);
+        let replicas = BTreeMap::new();
         Self {
             settings,
             own_zone,
             policy,
-            replicas: BTreeMap::new(),
+            replicas,
+            ticked: Time::default(),
         }
     }
 
     /// Takes in what a message from an agent says; a new agent or incarnation starts afresh.
     pub fn observe(&mut self, agent: &AgentId, seen: Seen, now: Time) {
-        let Seen {
-            incarnation,
-            window,
-            zone,
-            draining,
-            report,
-            age: _,
-        } = seen;
-        let replica = self
+        let silent = self
             .replicas
-            .entry(agent.clone())
-            .or_insert_with(|| Replica {
-                agent: agent.clone(),
-                incarnation,
-                window,
-                zone: zone.clone(),
-                draining,
-                report,
-                heard: now,
-                outstanding: 0,
-                health: Health::default(),
-                probed: None,
-            });
-        replica.incarnation = incarnation;
-        replica.window = window;
-        replica.zone = zone;
-        replica.draining = draining;
-        replica.report = report;
-        replica.heard = now;
-        replica.probed = None;
+            .get(agent)
+            .is_some_and(|r| self.is_silent(r, now));
+        let made = Time(now.0.saturating_sub(seen.age.as_micros() as u64));
+        let known = self.replicas.entry(agent.clone());
+        let replica = known.or_insert_with(|| Replica::new(agent.clone(), &seen, now));
+        replica.hear(seen, made, now);
+        if silent {
+            replica.health.readmit(now);
+        }
+        if replica.report.idle >= self.settings.health.stall {
+            self.eject(agent, Cause::Stalled, now);
+        } else if let Some(replica) = self.replicas.get_mut(agent) {
+            replica.health.recover(now);
+        }
     }
 
     /// Forgets a replica that is gone.
@@ -210,19 +143,36 @@
 
     /// Chooses a replica for one attempt.
     ///
+    /// A replica that refused for a full queue is passed over until its next report, unless all
+    /// others did too.
+    ///
     /// # Errors
     ///
-    /// `Draining` if every replica that is left is leaving, otherwise `NoReplica`.
+    /// `Draining` if all replicas are leaving, otherwise `NoReplica`.
     pub fn choose<R>(&mut self, wish: &Wish, now: Time, rng: &mut R) -> Result<Choice, Reason>
     where
         R: Rng,
     {
-        let usable: Vec<&Replica> = self
+        let mut usable: Vec<&Replica> = Vec::with_capacity(self.replicas.len());
+        let mut returning = Vec::new();
+        for replica in self
             .replicas
             .values()
             .filter(|r| !wish.avoid.contains(&r.agent))
-            .filter(|r| self.judge(r, now) == Verdict::Usable)
-            .collect();
+        {
+            match self.judge(replica, now) {
+                (Verdict::Usable, _) => usable.push(replica),
+                (Verdict::Readmitted, share) if rng.random_bool(share) => usable.push(replica),
+                (Verdict::Readmitted, _) => returning.push(replica),
+                _ => {}
+            }
+        }
+        if usable.is_empty() {
+            usable = returning;
+        }
+        if usable.iter().any(|r| !r.is_full()) {
+            usable.retain(|r| !r.is_full());
+        }
         if usable.is_empty() {
             let leaving = !self.replicas.is_empty() && self.replicas.values().all(|r| r.draining);
             return Err(if leaving {
@@ -231,16 +181,13 @@
                 Reason::NoReplica
             });
         }
-        let from: Vec<Candidate> = usable
-            .iter()
-            .map(|r| Candidate {
-                reported: f64::from(r.report.total()) / f64::from(r.report.slots.max(1)),
-                corrected: f64::from(r.report.total()) / f64::from(r.report.slots.max(1)),
-                local: r.zone == self.own_zone,
-                affinity: wish.prefix.map(|p| stable_hash((p, &r.agent))),
-            })
-            .collect();
+        let from = self.weigh(&usable, wish);
         let chosen = usable[self.policy.pick(&from, rng)];
+        assert!(
+            !chosen.draining,
+            "{} was chosen while draining",
+            chosen.agent
+        );
         Ok(Choice {
             agent: chosen.agent.clone(),
             incarnation: chosen.incarnation,
@@ -249,49 +196,135 @@
     }
 
     /// Notes that an attempt was dispatched.
-    pub fn sent(&mut self, agent: &AgentId, _now: Time) {
+    pub fn sent(&mut self, agent: &AgentId, now: Time) {
         if let Some(replica) = self.replicas.get_mut(agent) {
-            replica.outstanding += 1;
+            replica.count_sent(now);
         }
     }
 
     /// Notes how a dispatched attempt ended.
-    pub fn done(&mut self, agent: &AgentId, _result: Done, _now: Time) {
-        if let Some(replica) = self.replicas.get_mut(agent) {
-            replica.outstanding = replica.outstanding.saturating_sub(1);
+    pub fn done(&mut self, agent: &AgentId, result: Done, now: Time) {
+        let health = &self.settings.health;
+        let Some(replica) = self.replicas.get_mut(agent) else {
+            return;
+        };
+        replica.count_done(now);
+        let cause = match result {
+            Done::Ok { first_token } => {
+                replica.health.succeed(first_token, health, now);
+                self.is_slow(agent).then_some(Cause::Slow)
+            }
+            Done::Failed | Done::Stalled => {
+                replica.health.fail(health, now).then_some(Cause::Failed)
+            }
+            Done::Refused(reason) => {
+                replica.hear_refusal(reason, now);
+                None
+            }
+            Done::Cancelled => None,
+        };
+        if let Some(cause) = cause {
+            self.eject(agent, cause, now);
         }
     }
 
     /// Each replica with the reason why it is or isn't chosen.
     pub fn explain(&self, now: Time) -> Vec<Explanation> {
-        let explain = |r: &Replica| Explanation {
-            agent: r.agent.clone(),
-            zone: r.zone.clone(),
-            verdict: self.judge(r, now),
-            load: f64::from(r.report.total()) / f64::from(r.report.slots.max(1)),
-            outstanding: r.outstanding,
-            report: r.report,
-            heard_ms: u64::try_from(now.since(r.heard).as_millis()).unwrap_or(u64::MAX),
-        };
+        let peers = self.estimate_peers();
+        let explain = |r: &Replica| r.explain(self.judge(r, now).0, peers, now);
         self.replicas.values().map(explain).collect()
     }
 
     /// Replicas that need a probe now; call it every 100 to 250 ms and probe all it returns.
     pub fn to_probe(&mut self, now: Time) -> Vec<AgentId> {
+        let paused = now.since(self.ticked) > LONGEST_GAP;
+        self.ticked = now;
         let quiet = self.settings.health.quiet;
-        let due = |r: &&mut Replica| now.since(r.probed.unwrap_or(r.heard)) >= quiet;
-        let mark = |r: &mut Replica| {
-            r.probed = Some(now);
-            r.agent.clone()
+        let due = |r: &mut Replica| r.ask(quiet, paused, now).then(|| r.agent.clone());
+        self.replicas.values_mut().filter_map(due).collect()
+    }
+
+    /// What the policy needs to know of the usable replicas.
+    fn weigh(&self, usable: &[&Replica], wish: &Wish) -> Vec<Candidate> {
+        let peers = self.estimate_peers();
+        let holds: Vec<f64> = usable.iter().map(|r| r.report.hold.as_secs_f64()).collect();
+        let known = holds.iter().filter(|h| **h > 0.0).count().max(1);
+        let hold = holds.iter().sum::<f64>() / known as f64;
+        let weigh = |r: &&Replica| {
+            let slots = f64::from(r.report.slots.max(1));
+            let slowness = r.slowness(hold);
+            Candidate {
+                reported: f64::from(r.report.total()) / slots,
+                corrected: r.estimate(peers) / slots * slowness,
+                step: slowness / slots,
+                local: r.zone == self.own_zone,
+                affinity: wish.prefix.map(|p| stable_hash((p, &r.agent))),
+            }
         };
-        self.replicas.values_mut().filter(due).map(mark).collect()
+        usable.iter().map(weigh).collect()
     }
 
-    fn judge(&self, replica: &Replica, _now: Time) -> Verdict {
+    /// How many entries like this one send to the replicas, from the reported load over the
+    /// entry's own share of it.
+    fn estimate_peers(&self) -> f64 {
+        let total: u32 = self.replicas.values().map(|r| r.report.total()).sum();
+        let own: u32 = self.replicas.values().map(|r| r.outstanding).sum();
+        (f64::from(total) / f64::from(own.max(1))).max(1.0)
+    }
+
+    /// Whether a replica takes requests, and the share of them that it takes.
+    fn judge(&self, replica: &Replica, now: Time) -> (Verdict, f64) {
         if replica.draining {
-            Verdict::Draining
-        } else {
-            Verdict::Usable
+            return (Verdict::Draining, 0.0);
+        }
+        if replica.restarted {
+            return (Verdict::Restarted, 0.0);
+        }
+        if self.is_silent(replica, now) {
+            return (Verdict::Silent, 0.0);
+        }
+        match replica.health.standing(&self.settings.health, now) {
+            health::Standing::Active => (Verdict::Usable, 1.0),
+            health::Standing::Readmitted(share) => (Verdict::Readmitted, share),
+            health::Standing::Ejected(Cause::Failed) => (Verdict::Failed, 0.0),
+            health::Standing::Ejected(Cause::Stalled) => (Verdict::Stalled, 0.0),
+            health::Standing::Ejected(Cause::Slow) => (Verdict::Slow, 0.0),
+        }
+    }
+
+    fn is_silent(&self, replica: &Replica, now: Time) -> bool {
+        let paused = now.since(self.ticked) > LONGEST_GAP;
+        !paused && replica.unanswered(now) >= self.settings.health.answer
+    }
+
+    /// Tells whether a replica's first-token time is far above the median of all.
+    fn is_slow(&self, agent: &AgentId) -> bool {
+        let Some(own) = self
+            .replicas
+            .get(agent)
+            .and_then(|r| r.health.first_token())
+        else {
+            return false;
+        };
+        let mut all: Vec<f64> = self
+            .replicas
+            .values()
+            .filter_map(|r| r.health.first_token())
+            .collect();
+        all.sort_unstable_by(f64::total_cmp);
+        all.len() >= 3 && own > self.settings.health.outlier * all[all.len() / 2]
+    }
+
+    /// Ejects a replica unless too many are ejected already.
+    fn eject(&mut self, agent: &AgentId, cause: Cause, now: Time) {
+        let ejected = |r: &&Replica| r.health.is_ejected() && &r.agent != agent;
+        let others = self.replicas.values().filter(ejected).count();
+        let most = self.settings.health.cap * self.replicas.len() as f64;
+        let Some(replica) = self.replicas.get_mut(agent) else {
+            return;
+        };
+        if (others + 1) as f64 <= most && !replica.health.is_ejected() {
+            replica.health.eject(cause, &self.settings.health, now);
         }
     }
 }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 use rand::RngCore;
+use rand::seq::index::sample;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -44,13 +45,37 @@
     }
 
     /// Builds the policy.
-    pub(crate) fn build(self) -> Box<dyn Policy> {
+    pub(crate) fn build(self, tuning: Tuning) -> Box<dyn Policy> {
         match self {
             Kind::Random => Box::new(Random),
             Kind::RoundRobin => Box::new(RoundRobin::default()),
             Kind::LeastReported => Box::new(LeastReported),
             Kind::TwoChoices => Box::new(TwoChoices),
-            Kind::Siskinbend => Box::new(Siskinbend),
+            Kind::Siskinbend => Box::new(Siskinbend { tuning }),
+        }
+    }
+}
+
+/// Parameters of siskinbend's own policy.
+#[derive(Debug, Clone, Copy)]
+pub struct Tuning {
+    /// Random replicas whose corrected loads are compared.
+    pub choices: usize,
+    /// Replicas, in the order of the consistent hash, that may serve a prefix.
+    pub homes: usize,
+    /// Largest load of a home as a multiple of the mean load.
+    pub bound: f64,
+    /// Mean load of the own zone, in slots in use per slot, up to which nothing spills.
+    pub spill: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            choices: 3,
+            homes: 2,
+            bound: 1.25,
+            spill: 0.7,
         }
     }
 }
@@ -58,10 +83,13 @@
 /// What a policy sees of one usable replica.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
-    /// Share of the slots that the last report shows in use or waited for.
+    /// Requests running or waiting per slot, as last reported.
     pub reported: f64,
-    /// The same after the correction by the entry's own work since the report.
+    /// The same after the correction by the entry's own work since the report and by the
+    /// replica's speed.
     pub corrected: f64,
+    /// Load that one more request adds.
+    pub step: f64,
     /// Whether the replica is in the entry's own availability zone.
     pub local: bool,
     /// Hash of the replica and the prompt prefix, if the request has one.
@@ -74,16 +102,6 @@
     fn pick(&mut self, from: &[Candidate], rng: &mut dyn RngCore) -> usize;
 }
 
-/// The position with the least value; ties go to the first.
-fn least<Value>(from: &[Candidate], value: Value) -> usize
-where
-    Value: Fn(&Candidate) -> f64,
-{
-    (0..from.len())
-        .min_by(|a, b| value(&from[*a]).total_cmp(&value(&from[*b])))
-        .unwrap_or(0)
-}
-
 struct Random;
 
 impl Policy for Random {
@@ -107,8 +125,16 @@
 struct LeastReported;
 
 impl Policy for LeastReported {
-    fn pick(&mut self, from: &[Candidate], _rng: &mut dyn RngCore) -> usize {
-        least(from, |c| c.reported)
+    fn pick(&mut self, from: &[Candidate], rng: &mut dyn RngCore) -> usize {
+        // Ties are broken at random; the first replica would otherwise take all of an idle fleet.
+        let least = from
+            .iter()
+            .map(|c| c.reported)
+            .fold(f64::INFINITY, f64::min);
+        let ties = || (0..from.len()).filter(|i| from[*i].reported <= least);
+        ties()
+            .nth(rng.random_range(0..ties().count().max(1)))
+            .unwrap_or(0)
     }
 }
 
@@ -126,16 +152,62 @@
     }
 }
 
-struct Siskinbend;
+/// Prefix affinity with bounded load, then the least corrected load of a few random replicas.
+///
+/// Comparing only a few random replicas keeps entries that hold the same late report from all
+/// choosing the same replica.
+struct Siskinbend {
+    tuning: Tuning,
+}
+
+impl Siskinbend {
+    /// The replicas to choose from: those of the own zone unless it is loaded more than the rest.
+    fn scope(&self, from: &[Candidate]) -> Vec<usize> {
+        let all: Vec<usize> = (0..from.len()).collect();
+        let local: Vec<usize> = all.iter().copied().filter(|i| from[*i].local).collect();
+        let limit = self.tuning.spill.max(mean(from, &all) * self.tuning.bound);
+        if local.is_empty() || mean(from, &local) > limit {
+            all
+        } else {
+            local
+        }
+    }
+
+    /// The first home of the prefix whose load is within the bound.
+    fn home(&self, from: &[Candidate], scope: &[usize]) -> Option<usize> {
+        let limit = mean(from, scope) * self.tuning.bound;
+        let mut homes: Vec<(u64, usize)> = scope
+            .iter()
+            .filter_map(|i| Some((from[*i].affinity?, *i)))
+            .collect();
+        homes.sort_unstable_by(|a, b| b.cmp(a));
+        let fits = |i: &usize| from[*i].corrected <= limit + from[*i].step;
+        homes
+            .into_iter()
+            .take(self.tuning.homes)
+            .map(|(_, i)| i)
+            .find(fits)
+    }
+}
+
+/// Mean corrected load of some candidates, which are never none.
+fn mean(from: &[Candidate], scope: &[usize]) -> f64 {
+    let sum: f64 = scope.iter().map(|i| from[*i].corrected).sum();
+    sum / scope.len().max(1) as f64
+}
 
 impl Policy for Siskinbend {
     fn pick(&mut self, from: &[Candidate], rng: &mut dyn RngCore) -> usize {
-        let a = rng.random_range(0..from.len());
-        let b = rng.random_range(0..from.len());
-        if from[b].corrected < from[a].corrected {
-            b
-        } else {
-            a
+        let scope = self.scope(from);
+        if let Some(home) = self.home(from, &scope) {
+            return home;
         }
+        let amount = self.tuning.choices.clamp(1, scope.len());
+        let drawn = sample(rng, scope.len(), amount)
+            .into_iter()
+            .map(|i| scope[i]);
+        drawn
+            .min_by(|a, b| from[*a].corrected.total_cmp(&from[*b].corrected))
+            .unwrap_or(0)
     }
 }
