Connect each entry to a subset of the replicas

Cause: every entry connected to every agent; at 390 entries and 770 replicas that is a full mesh whose probes alone exceed 7 KB/s a node.

Ruled out: the platform's list as source of the service, because it names VMs only.

Before and after: links of one entry at the planned size 770 before, at most 96 with 16 services by the limits; today's sizes stay a full mesh.

--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Sets the silence after which a replica is probed; entries with many replicas probe each more
+    /// rarely.
+    pub fn set_quiet(&mut self, quiet: Duration) {
+        self.settings.health.quiet = quiet;
+    }
+
     /// Forgets a replica that is gone.
     pub fn remove(&mut self, agent: &AgentId) {
         self.replicas.remove(agent);
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use quinn::Connection;
+use tokio::sync::watch;
 
 use siskinbend_control::membership::Listed;
 use siskinbend_control::membership::Membership;
@@ -40,6 +41,7 @@
 use siskinbend_wire::Status;
 use siskinbend_wire::transport::Dialer;
 
+use super::directory::Directory;
 use super::link;
 use crate::limits;
 
@@ -74,11 +76,22 @@
     links: Mutex<HashMap<AgentId, Link>>,
     membership: Mutex<Membership>,
     quota: Mutex<Quota>,
+    directory: Mutex<Directory>,
+    /// Tells the links that another choice of agents may be due.
+    pub(crate) changed: watch::Sender<()>,
 }
 
 impl Fleet {
-    pub(crate) fn new(dialer: Arc<Dialer>, zone: Zone, fixed: Vec<SocketAddr>) -> Self {
+    pub(crate) fn new(
+        dialer: Arc<Dialer>,
+        name: AgentId,
+        zone: Zone,
+        fixed: Vec<SocketAddr>,
+    ) -> Self {
+        let directory = Directory::new(name, zone.clone());
         Self {
+            directory: Mutex::new(directory),
+            changed: watch::Sender::new(()),
             dialer,
             zone,
             fixed,
@@ -153,6 +166,33 @@
         }
     }
 
+    /// Notes what a connected agent says, and tells whether this entry keeps the connection.
+    pub(crate) fn learn(&self, address: SocketAddr, hello: &Hello) -> bool {
+        let (changed, chosen) = {
+            let mut directory = Self::lock(&self.directory);
+            (
+                directory.learn(address, hello),
+                directory.is_chosen(address),
+            )
+        };
+        if changed {
+            self.changed.send_replace(());
+        }
+        chosen
+    }
+
+    /// Gives the place of an agent in the subset to another.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        if Self::lock(&self.directory).forget(address) {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Tells whether this entry keeps a connection to an agent.
+    pub(crate) fn is_chosen(&self, address: SocketAddr) -> bool {
+        Self::lock(&self.directory).is_chosen(address)
+    }
+
     /// Tells whether an address is still worth connecting to.
     pub(crate) fn is_wanted(&self, address: SocketAddr) -> bool {
         self.fixed.contains(&address) || Self::lock(&self.membership).find(address).is_some()
@@ -296,13 +336,20 @@
         call.handle(event, now, &mut Self::lock(budget))
     }
 
-    /// The agents that need a probe now.
+    /// The agents that need a probe now; with many agents each is probed more rarely.
     pub(crate) fn find_probes(&self, now: Time) -> Vec<AgentId> {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "there are far fewer than 2^52 links"
+        )]
+        let share = self.count_links() as f64 / limits::PROBE_RATE;
+        let quiet = limits::PROBE_QUIET.max(Duration::from_secs_f64(share));
         let mut pools = Self::lock(&self.pools);
-        pools
-            .values_mut()
-            .flat_map(|pool| pool.picker.to_probe(now))
-            .collect()
+        let due = |pool: &mut Pool| {
+            pool.picker.set_quiet(quiet);
+            pool.picker.to_probe(now)
+        };
+        pools.values_mut().flat_map(due).collect()
     }
 
     /// One line for each replica: why it is or isn't chosen.
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -22,57 +22,81 @@
 use crate::exchange::NO_REQUEST;
 use crate::limits;
 
-/// Connects to an agent again and again until its VM is gone.
+/// Connects to an agent again and again until its VM is gone, while it is in this entry's subset.
 pub(super) async fn keep(entry: Arc<Entry>, address: SocketAddr) {
+    let mut changed = entry.fleet.changed.subscribe();
     let mut pause = limits::RECONNECT_MIN;
+    let mut failures = 0;
     while entry.fleet.is_wanted(address) {
+        if !entry.fleet.is_chosen(address) {
+            // The timeout notices a VM that is gone; an error can't happen while the entry lives.
+            let _ = tokio::time::timeout(limits::PARK_INTERVAL, changed.changed()).await;
+            continue;
+        }
         match entry.fleet.dialer.connect(address).await {
             Ok(connection) => {
-                let error = hold(&entry, &connection).await;
-                log::warn!(address:% = address, error:% = error; "agent_lost");
-                pause = limits::RECONNECT_MIN;
+                hold(&entry, &connection).await;
+                (pause, failures) = (limits::RECONNECT_MIN, 0);
             }
             Err(error) => {
                 log::debug!(address:% = address, error:% = error; "agent_unreachable");
                 pause = (pause * 2).min(limits::RECONNECT_MAX);
+                failures += 1;
             }
         }
+        if failures == limits::DIAL_FAILURES {
+            entry.fleet.forget(address);
+        }
         // Jitter keeps entries from connecting all at once after a switch has failed.
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
     }
+    entry.fleet.forget(address);
     log::info!(address:% = address; "agent_forgotten");
 }
 
-/// Uses a connection until it is lost.
-async fn hold(entry: &Arc<Entry>, connection: &Connection) -> FrameError {
-    let opened = entry.clock.now();
-    let (error, name) = tokio::select! {
-        ended = watch(entry, connection, opened) => ended,
-        () = answer(entry, connection) => (FrameError::Lost, None),
-    };
+/// Uses a connection until it is lost or the agent leaves the subset. Streams of requests keep a
+/// connection open that is no longer used for new ones.
+async fn hold(entry: &Arc<Entry>, connection: &Connection) {
+    let address = connection.remote_address();
+    tokio::select! {
+        error = watch(entry, connection) => {
+            if let Some(error) = error {
+                log::warn!(address:% = address, error:% = error; "agent_lost");
+            }
+        }
+        () = answer(entry, connection) => log::warn!(address:% = address; "agent_lost"),
+        () = wait_displaced(entry, address) => log::info!(address:% = address; "agent_parked"),
+    }
     entry.spread.remove_peer(connection);
     entry.fleet.remove(connection);
-    if let Some(name) = name {
-        log::debug!(agent:% = name; "agent_removed");
+}
+
+/// Waits until an agent is no longer in this entry's subset.
+async fn wait_displaced(entry: &Entry, address: SocketAddr) {
+    let mut changed = entry.fleet.changed.subscribe();
+    while entry.fleet.is_chosen(address) {
+        if changed.changed().await.is_err() {
+            return;
+        }
     }
-    error
 }
 
-/// Reads what an agent announces until the connection is lost.
-async fn watch(
-    entry: &Arc<Entry>,
-    connection: &Connection,
-    opened: Time,
-) -> (FrameError, Option<AgentId>) {
+/// Reads what an agent announces until the connection is lost; `None` if the agent is not in this
+/// entry's subset.
+async fn watch(entry: &Arc<Entry>, connection: &Connection) -> Option<FrameError> {
+    let opened = entry.clock.now();
     let Ok(stream) = connection.accept_uni().await else {
-        return (FrameError::Lost, None);
+        return Some(FrameError::Lost);
     };
     let mut receiver = Receiver::new(Some(NO_REQUEST), stream);
     let hello = match receiver.receive().await {
         Ok(Message::Hello(hello)) => hello,
-        Ok(_) => return (FrameError::Truncated, None),
-        Err(error) => return (error, None),
+        Ok(_) => return Some(FrameError::Truncated),
+        Err(error) => return Some(error),
     };
+    if !entry.fleet.learn(connection.remote_address(), &hello) {
+        return None;
+    }
     log::info!(
         agent:% = hello.agent, service:% = hello.service, zone:% = hello.zone,
         incarnation:% = hello.status.incarnation;
@@ -91,8 +115,8 @@
                 }
                 observe(entry, connection, &hello, &status);
             }
-            Ok(_) => return (FrameError::Truncated, Some(hello.agent)),
-            Err(error) => return (error, Some(hello.agent)),
+            Ok(_) => return Some(FrameError::Truncated),
+            Err(error) => return Some(error),
         }
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod claims;
+mod directory;
 mod driver;
 mod fleet;
 mod http;
@@ -120,7 +121,7 @@
         .iter()
         .map(|(_, address)| *address)
         .collect();
-    let fleet = Fleet::new(dialer, common.zone.clone(), fixed);
+    let fleet = Fleet::new(dialer, common.name.clone(), common.zone.clone(), fixed);
     Arc::new(Entry {
         clock,
         incarnation: Incarnation(rand::random()),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -81,3 +81,23 @@
 /// An agent that was silent for longer is probed before it gets a call that may not be repeated:
 /// a dispatch to a frozen agent could only end as `unknown`.
 pub const FRESH: Duration = Duration::from_secs(1);
+
+/// Connections that an entry spreads over the services; a full mesh at the planned size would
+/// need 770 for each entry.
+pub const LINKS: usize = 96;
+
+/// Replicas of a service that an entry connects to at least, so that it can choose and spill.
+pub const SERVICE_LINKS: usize = 6;
+
+/// Probes a second of one entry. A probe and its answer have about 350 bytes, so that probes take
+/// half of the 7 KB/s for control.
+pub const PROBE_RATE: f64 = 10.0;
+
+/// Shortest silence after which a replica is probed.
+pub const PROBE_QUIET: Duration = Duration::from_secs(1);
+
+/// Failed connections in a row after which an agent leaves its place in the subset to another.
+pub const DIAL_FAILURES: u32 = 3;
+
+/// Interval at which an entry looks again whether it should connect to an agent.
+pub const PARK_INTERVAL: Duration = Duration::from_secs(60);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,4 +9,5 @@
 mod rate_limits;
 mod standins;
 mod store;
+mod subset_choice;
 mod type_parsing;
