--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod documents;
+pub mod fit;
 pub mod rebalance;
 pub mod requests;
 pub mod routing;
