Test outcomes, ledger, claims, random runs and histories

Cause: nothing showed that each mechanism of the request path is needed, nor that the oracle of the experiment sees a fault.

Change: - Failure tests of ledger, call and claims; a proptest over random events of a call against a plain account of its attempts; seeded runs of the experiment; histories of concurrent keyed calls checked with todc-utils against a register that is set at most once. Seeds are fixed. - An attempt that was queued for more than four windows doesn't start, because its claim row may have expired. - The experiment has a variant in which several processes fail while a call lasts, and counts starts of keyed operations whose row does not name the attempt (unheld). A run without a claim is excused only where the route says so.

--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -39,7 +39,19 @@
     if options.count == 0 {
         return Err("--count must be at least 1".to_owned());
     }
-    Ok([("calm", Faults::none()), ("faults", Faults::default())]
+    // In the sparse variant several processes fail while a call lasts.
+    let sparse = Faults {
+        gap_us: 30_000,
+        interval_us: 500_000,
+        freeze_us: 20_000_000,
+        ..Faults::default()
+    };
+    let variants = [
+        ("calm", Faults::none()),
+        ("faults", Faults::default()),
+        ("sparse", sparse),
+    ];
+    Ok(variants
         .into_iter()
         .map(|(variant, faults)| {
             let mut world = World::new(options.seed, options.count, faults);
--- a/crates/measure/src/requests/agent.rs
+++ b/crates/measure/src/requests/agent.rs
@@ -6,9 +6,11 @@
 use rand::Rng;
 use siskinbend_request::AttemptRef;
 use siskinbend_request::CancelState;
+use siskinbend_request::ClaimState;
 use siskinbend_request::Event;
 use siskinbend_request::Finish;
 use siskinbend_request::Ledger;
+use siskinbend_request::claim;
 use siskinbend_request::ledger;
 use siskinbend_types::Attempt;
 use siskinbend_types::Incarnation;
@@ -18,6 +20,9 @@
 
 use super::faults::QUEUE;
 use super::faults::SLOTS;
+use super::load::key_name;
+use super::load::organisation;
+use super::load::service;
 use super::oracle::Execution;
 use super::world::Item;
 use super::world::Origin;
@@ -268,13 +273,27 @@
             return self.stop_if_idle(agent);
         }
         server.running += 1;
-        let request = usize::try_from(key.0.0 & u128::from(u64::MAX)).unwrap_or(usize::MAX);
+        let request = origin_request(key);
         job.execution = self.oracle.start(request, job.chunks, now);
         job.fails = fails.filter(|step| *step <= job.chunks);
         let pace = job.pace_us;
+        self.check_claim(request, key);
         self.push(pace, Item::Step(agent, run, key, 0));
     }
 
+    /// A keyed operation may start only while its row names the attempt.
+    fn check_claim(&mut self, request: usize, key: Key) {
+        let Some(operation) = self.oracle.request(request).operation else {
+            return;
+        };
+        let name = key_name(operation);
+        let path = claim::claim_path(&organisation(operation), &service(), &name);
+        let row = self.table.read(&path, self.now).map(|(row, ..)| row);
+        let held =
+            row.is_some_and(|row| (row.id, row.attempt) == key && row.state == ClaimState::Claimed);
+        self.oracle.check_claim(operation, held);
+    }
+
     /// The backend server sends the next part of an answer.
     pub(super) fn take_step(&mut self, agent: usize, run: u64, key: Key, step: u64) {
         if self.agents[agent].process.run != run {
--- a/crates/measure/src/requests/entry.rs
+++ b/crates/measure/src/requests/entry.rs
@@ -10,6 +10,7 @@
 use siskinbend_request::ClaimRow;
 use siskinbend_request::ClaimState;
 use siskinbend_request::Event;
+use siskinbend_request::OnOutage;
 use siskinbend_request::RetryBudget;
 use siskinbend_request::Target;
 use siskinbend_request::claim;
@@ -26,6 +27,7 @@
 use super::faults::SILENCE_US;
 use super::load::name;
 use super::load::organisation;
+use super::load::outage_rule;
 use super::oracle::Execution;
 use super::oracle::Told;
 use super::table::Writer;
@@ -61,6 +63,7 @@
     question: u32,
     pending: Option<Pending>,
     execution: Execution,
+    dispatches: u32,
     /// Whether the last claim write took effect as far as the entry knows.
     claimed: bool,
 }
@@ -75,6 +78,7 @@
             question: 0,
             pending: None,
             execution: 0,
+            dispatches: 0,
             claimed: true,
         }
     }
@@ -290,9 +294,14 @@
     fn dispatch(&mut self, origin: Origin, attempt: Attempt, target: &Target) -> Option<Event> {
         let live = self.find(origin)?;
         let (request, claimed) = (live.request, live.claimed);
+        live.dispatches += 1;
+        let again = live.dispatches > 1;
         let asked = self.oracle.request(request).clone();
-        self.oracle.note("dispatches");
-        if let Some(operation) = asked.operation.filter(|_| !claimed) {
+        self.oracle
+            .note(if again { "retries" } else { "dispatches" });
+        if let Some(operation) = asked.operation.filter(|_| !claimed)
+            && outage_rule(operation) == OnOutage::Run
+        {
             self.oracle.note_unclaimed(operation);
         }
         let dispatch = ledger::Dispatch {
--- a/crates/measure/src/requests/faults.rs
+++ b/crates/measure/src/requests/faults.rs
@@ -3,6 +3,8 @@
 /// What goes wrong, and how often.
 #[derive(Debug, Clone)]
 pub struct Faults {
+    /// Mean time between two new requests.
+    pub gap_us: u64,
     /// Share of messages that are lost.
     pub loss: f64,
     /// Share of messages that arrive twice.
@@ -31,6 +33,7 @@
     /// No faults at all.
     pub fn none() -> Self {
         Self {
+            gap_us: 3_000,
             loss: 0.0,
             copies: 0.0,
             late: 0.0,
@@ -49,6 +52,7 @@
 impl Default for Faults {
     fn default() -> Self {
         Self {
+            gap_us: 3_000,
             loss: 0.01,
             copies: 0.02,
             late: 0.01,
@@ -74,8 +78,6 @@
 pub const SLOTS: usize = 16;
 /// Attempts that wait at an agent before more are refused.
 pub const QUEUE: usize = 64;
-/// Mean time between two new requests.
-pub const GAP_US: u64 = 3_000;
 /// Time between two reports of an agent to an entry.
 pub const REPORT_US: u64 = 1_000_000;
 /// Age of a report from which an entry avoids the agent.
--- a/crates/measure/src/requests/load.rs
+++ b/crates/measure/src/requests/load.rs
@@ -62,6 +62,28 @@
     name(format_smolstr!("organisation-{}", number % ORGANISATIONS))
 }
 
+/// The service of all requests.
+pub fn service() -> ServiceName {
+    name(SmolStr::new_static("desk"))
+}
+
+/// Digest of the key of an operation; every organisation uses the same keys.
+pub fn key_name(operation: usize) -> Digest {
+    let mut digest = [0; 32];
+    let shared = (operation / ORGANISATIONS) as u64;
+    digest[..8].copy_from_slice(&shared.to_le_bytes());
+    Digest(digest)
+}
+
+/// What the route of an operation says about outages of the table.
+pub fn outage_rule(operation: usize) -> OnOutage {
+    if operation.is_multiple_of(7) {
+        OnOutage::Run
+    } else {
+        OnOutage::Refuse
+    }
+}
+
 /// A name that is known to be valid.
 pub fn name<Name>(text: SmolStr) -> Name
 where
@@ -134,26 +156,17 @@
 
     fn specify(&mut self, id: RequestId, request: usize, clock: Time) -> Spec {
         let asked = self.oracle.request(request).clone();
-        let key = asked.operation.map(|operation| {
-            let mut digest = [0; 32];
-            let shared = (operation / ORGANISATIONS) as u64;
-            digest[..8].copy_from_slice(&shared.to_le_bytes());
-            Key {
-                name: Digest(digest),
-                body: Digest([asked.body; 32]),
-                on_outage: if operation % 7 == 0 {
-                    OnOutage::Run
-                } else {
-                    OnOutage::Refuse
-                },
-                retention: self.oracle.retention(operation),
-            }
+        let key = asked.operation.map(|operation| Key {
+            name: key_name(operation),
+            body: Digest([asked.body; 32]),
+            on_outage: outage_rule(operation),
+            retention: self.oracle.retention(operation),
         });
         let limit = self.spread(1_000_000, 10_000_000);
         Spec {
             id,
             organisation: organisation(asked.operation.unwrap_or(request)),
-            service: name::<ServiceName>(SmolStr::new_static("desk")),
+            service: service(),
             idempotent: asked.idempotent,
             key,
             deadline: clock + Duration::from_micros(limit),
--- a/crates/measure/src/requests/oracle.rs
+++ b/crates/measure/src/requests/oracle.rs
@@ -79,6 +79,8 @@
     pub crossed: u64,
     /// Answers that ended cleanly though a part was missing.
     pub cut_unseen: u64,
+    /// Keyed operations that started without a claim row that names the attempt.
+    pub unheld: u64,
     /// Executions on all backend servers.
     pub executions: u64,
     /// How often each kind of fault or decision occurred.
@@ -90,7 +92,7 @@
         write!(
             f,
             "sent={} answered={} not_run={} unknown={} ran_twice={} false_not_run={} \
-             crossed={} cut_unseen={} executions={}",
+             crossed={} cut_unseen={} unheld={} executions={}",
             self.sent,
             self.answered,
             self.not_run,
@@ -99,6 +101,7 @@
             self.false_not_run,
             self.crossed,
             self.cut_unseen,
+            self.unheld,
             self.executions
         )?;
         self.seen
@@ -115,6 +118,7 @@
     operations: Vec<Operation>,
     crossed: u64,
     cut_unseen: u64,
+    unheld: u64,
     seen: BTreeMap<SmolStr, u64>,
 }
 
@@ -183,6 +187,13 @@
         self.runs.len()
     }
 
+    /// A backend server starts an operation whose row names the attempt, or doesn't.
+    pub fn check_claim(&mut self, operation: usize, held: bool) {
+        if !held && !self.operations[operation].unclaimed {
+            self.unheld += 1;
+        }
+    }
+
     /// The answer that an agent keeps of an execution.
     pub fn store(&self, execution: Execution) -> StoredAnswer {
         StoredAnswer {
@@ -284,6 +295,7 @@
             false_not_run: count(|r| r.told == Some(Told::Failure(Outcome::NotRun)) && r.runs > 0),
             crossed: self.crossed,
             cut_unseen: self.cut_unseen,
+            unheld: self.unheld,
             executions: self.runs.len() as u64,
             seen: self.seen.clone(),
         }
--- a/crates/measure/src/requests/world.rs
+++ b/crates/measure/src/requests/world.rs
@@ -24,7 +24,6 @@
 use super::faults::DRAIN_US;
 use super::faults::ENTRIES;
 use super::faults::Faults;
-use super::faults::GAP_US;
 use super::faults::REPORT_US;
 use super::load::Arrival;
 use super::load::Load;
@@ -260,7 +259,7 @@
     pub(super) fn draw_delay(&mut self) -> u64 {
         if self.chance(self.faults.late) {
             self.oracle.note("late");
-            return self.spread(1_000, self.faults.late_us);
+            return self.spread(100_000, self.faults.late_us);
         }
         self.rng.random_range(200..2_000)
     }
@@ -425,6 +424,6 @@
 
     /// Mean time until the next new request, in microseconds.
     pub(super) fn draw_gap(&mut self) -> u64 {
-        self.rng.random_range(1..GAP_US * 2)
+        self.rng.random_range(1..self.faults.gap_us * 2)
     }
 }
--- a/crates/request/src/call/keyed.rs
+++ b/crates/request/src/call/keyed.rs
@@ -1,7 +1,5 @@
 //! Decisions about claims: writing, finding, asking and taking over a claim row.
 
-use std::time::Duration;
-
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
 
@@ -18,10 +16,7 @@
 use crate::call::Claiming;
 use crate::call::Phase;
 use crate::call::attempt::after;
-
-/// Shortest life of a claim row after the longest wait for its answer. A dispatch is admitted up
-/// to two windows (60 s) after its claim, and the row must outlive the attempt.
-const CLAIM_FLOOR: Duration = Duration::from_secs(120);
+use crate::ledger::START_LIMIT;
 
 /// Claim writes of one call beyond one for each attempt. It stops two calls that keep losing the
 /// response of their writes.
@@ -55,9 +50,10 @@
             incarnation: target.incarnation,
             window: target.window,
             state: ClaimState::Claimed,
+            // The row outlives every start of the attempt that it names.
             retention: key
                 .retention
-                .max(self.spec.deadline.since(now) + CLAIM_FLOOR),
+                .max(self.spec.deadline.since(now) + START_LIMIT),
         };
         out.push(Action::WriteClaim {
             row: Box::new(row.clone()),
--- a/crates/request/src/ledger.rs
+++ b/crates/request/src/ledger.rs
@@ -20,18 +20,23 @@
 /// Windows for which finished records and tombstones are kept. A dispatch is admitted in its own
 /// window or the next, so a tombstone outlives every dispatch that it must refuse.
 const KEPT_WINDOWS: u64 = 3;
+/// Length of a dispatch window in seconds.
+const WINDOW_SECONDS: u64 = 30;
+/// Longest time from the start of a dispatch's window until the attempt starts, by the agent's
+/// clock.
+pub(crate) const START_LIMIT: Duration = Duration::from_secs(WINDOW_SECONDS * (KEPT_WINDOWS + 1));
 
 /// Options of a ledger.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Length of a dispatch window.
+    /// Length of a dispatch window; at most the default, which claim rows must outlive.
     pub window: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            window: Duration::from_secs(30),
+            window: Duration::from_secs(WINDOW_SECONDS),
         }
     }
 }
@@ -107,8 +112,8 @@
 /// What the agent knows of one attempt.
 #[derive(Debug)]
 enum Record {
-    /// Admitted, not started.
-    Queued(Organisation),
+    /// Admitted, not started; with the window of the dispatch.
+    Queued(Organisation, Window),
     /// Started, not finished.
     Running(Organisation),
     /// Has run.
@@ -186,15 +191,17 @@
             return Err(Reason::Draining);
         }
         self.open += 1;
-        self.records
-            .insert(key, Record::Queued(dispatch.organisation.clone()));
+        self.records.insert(
+            key,
+            Record::Queued(dispatch.organisation.clone(), attempt.window),
+        );
         Ok(())
     }
 
     /// Notes that an admitted attempt was refused by the admission queue and never runs.
     pub fn refuse(&mut self, id: RequestId, attempt: Attempt) {
         match self.records.get(&(id, attempt)) {
-            Some(Record::Queued(_)) => {
+            Some(Record::Queued(..)) => {
                 self.open -= 1;
                 self.settle((id, attempt), Record::Tombstone);
             }
@@ -205,19 +212,27 @@
         }
     }
 
-    /// Starts an admitted attempt; false if it was cancelled while it was queued.
+    /// Starts an admitted attempt; false if it was cancelled while it was queued, or waited so
+    /// long that its claim may have expired. The entry is then sent a refusal.
     pub fn start(&mut self, id: RequestId, attempt: Attempt, now: Time) -> bool {
         self.tick(now);
-        match self.records.get_mut(&(id, attempt)) {
+        let key = (id, attempt);
+        match self.records.get(&key) {
             // The tombstone of an attempt that was cancelled long ago has been dropped.
             Some(Record::Tombstone) | None => false,
-            Some(record) => {
-                let Record::Queued(organisation) = record else {
-                    panic!("attempt {attempt} of request {id} starts again as {record:?}");
-                };
-                *record = Record::Running(organisation.clone());
+            Some(Record::Queued(_, window)) if self.has_dropped(*window) => {
+                self.open -= 1;
+                self.settle(key, Record::Tombstone);
+                false
+            }
+            Some(Record::Queued(organisation, _)) => {
+                let running = Record::Running(organisation.clone());
+                self.records.insert(key, running);
                 true
             }
+            Some(record) => {
+                panic!("attempt {attempt} of request {id} starts again as {record:?}")
+            }
         }
     }
 
@@ -244,7 +259,7 @@
     pub fn cancel(&mut self, attempt: &AttemptRef, now: Time) -> CancelState {
         match self.find(attempt, now) {
             Err(state) => state,
-            Ok(Record::Queued(_) | Record::Tombstone) => CancelState::NeverStarts,
+            Ok(Record::Queued(..) | Record::Tombstone) => CancelState::NeverStarts,
             Ok(Record::Running(_)) => CancelState::Running,
             Ok(Record::Finished(..)) => CancelState::Finished,
         }
@@ -255,7 +270,7 @@
     /// Only the organisation that sent the attempt learns anything of it.
     pub fn lookup(&mut self, attempt: &AttemptRef, owner: &Organisation, now: Time) -> Found {
         let key = (attempt.id, attempt.attempt);
-        if let Some(Record::Queued(known) | Record::Running(known) | Record::Finished(known, _)) =
+        if let Some(Record::Queued(known, _) | Record::Running(known) | Record::Finished(known, _)) =
             self.records.get(&key)
             && known != owner
         {
@@ -264,7 +279,7 @@
         match self.find(attempt, now) {
             Err(CancelState::OtherIncarnation) => Found::OtherIncarnation,
             Err(_) => Found::Forgotten,
-            Ok(Record::Queued(_) | Record::Tombstone) => Found::NeverStarts,
+            Ok(Record::Queued(..) | Record::Tombstone) => Found::NeverStarts,
             Ok(Record::Running(_)) => Found::Running,
             Ok(Record::Finished(_, Some(answer))) => Found::Finished((**answer).clone()),
             Ok(Record::Finished(_, None)) => Found::FinishedWithoutAnswer,
@@ -322,7 +337,7 @@
         }
         let key = (attempt.id, attempt.attempt);
         match self.records.get(&key) {
-            Some(Record::Queued(_)) => {
+            Some(Record::Queued(..)) => {
                 self.open -= 1;
                 self.settle(key, Record::Tombstone);
             }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,3 +1,9 @@
 //! Integration tests, one file a feature.
 
+mod call_util;
+mod claims;
+mod ledger;
+mod outcomes;
+mod request_history;
+mod request_random;
 mod type_parsing;
--- /dev/null
+++ b/tests/integration/request_history.rs
@@ -0,0 +1,110 @@
+//! Histories of concurrent keyed calls against a sequential register that is set at most once;
+//! guards against a repeat that gets another answer or runs again.
+
+use siskinbend_measure::requests::Faults;
+use siskinbend_measure::requests::Moment;
+use siskinbend_measure::requests::Told;
+use siskinbend_measure::requests::World;
+use siskinbend_types::Outcome;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::Action;
+use todc_utils::linearizability::history::History;
+use todc_utils::specifications::Specification;
+
+/// What a call did to the register; the value is the number of the execution.
+#[derive(Debug, Clone)]
+enum Operation {
+    /// The call set the register or read what was set.
+    Answered(usize),
+    /// The call set the register, and its caller doesn't know.
+    Unknown(usize),
+    /// The call changed nothing.
+    None,
+}
+
+struct Once;
+
+impl Specification for Once {
+    type State = Option<usize>;
+    type Operation = Operation;
+
+    fn init() -> Option<usize> {
+        None
+    }
+
+    fn apply(operation: &Operation, state: &Option<usize>) -> (bool, Option<usize>) {
+        match operation {
+            Operation::Answered(value) => (state.is_none_or(|set| set == *value), Some(*value)),
+            Operation::Unknown(value) => (state.is_none(), Some(*value)),
+            Operation::None => (true, *state),
+        }
+    }
+}
+
+/// The history of one key. A call whose caller knows nothing takes effect at any later time, so
+/// its response comes last.
+fn read_history(world: &World, moments: &[Moment]) -> History<Operation> {
+    let told = |request: usize| {
+        moments.iter().find_map(|moment| match moment {
+            Moment::Told(other, told) if *other == request => Some(*told),
+            _ => None,
+        })
+    };
+    let operation = |request: usize| match (told(request), world.oracle.find_run(request)) {
+        (Some(Told::Answer(execution)), _) => Operation::Answered(execution),
+        // A run of a call that was reported as not run has no place in any order.
+        (Some(Told::Failure(Outcome::NotRun)), Some(_)) => Operation::Answered(usize::MAX),
+        (_, Some(execution)) => Operation::Unknown(execution),
+        (_, None) => Operation::None,
+    };
+    let process = |request: usize| {
+        let sent = |moment: &&Moment| matches!(moment, Moment::Sent(_));
+        let mut requests = moments.iter().filter(sent);
+        requests.position(|moment| *moment == Moment::Sent(request))
+    };
+    let mut actions = Vec::new();
+    let mut open = Vec::new();
+    for moment in moments {
+        let (Moment::Sent(request) | Moment::Told(request, _)) = *moment;
+        let Some(process) = process(request) else {
+            panic!("request {request} ended before it was sent: {moments:?}");
+        };
+        match moment {
+            Moment::Sent(_) => {
+                open.push((process, Action::Response(operation(request))));
+                actions.push((process, Action::Call(operation(request))));
+            }
+            Moment::Told(_, Told::Failure(Outcome::Unknown)) => {}
+            Moment::Told(..) => {
+                open.retain(|(other, _)| *other != process);
+                actions.push((process, Action::Response(operation(request))));
+            }
+        }
+    }
+    actions.append(&mut open);
+    History::from_actions(actions)
+}
+
+#[test]
+fn concurrent_keyed_calls_are_linearizable() {
+    let mut histories = 0;
+    for seed in 0..12 {
+        let faults = Faults {
+            gap_us: 20_000,
+            interval_us: 500_000,
+            freeze_us: 20_000_000,
+            ..Faults::default()
+        };
+        let mut world = World::new(seed, 3_000, faults);
+        world.run();
+        for (index, moments) in world.oracle.histories().enumerate() {
+            let history = read_history(&world, moments);
+            histories += 1;
+            assert!(
+                WGLChecker::<Once>::is_linearizable(history),
+                "seed {seed}, operation {index}: {moments:?}"
+            );
+        }
+    }
+    assert!(histories > 3_000, "only {histories} histories");
+}
