--- a/crates/placement/src/counts.rs
+++ b/crates/placement/src/counts.rs
@@ -9,6 +9,21 @@
 
 /// Weight of an interval against the one after it; about four intervals count.
 const DECAY: f64 = 0.75;
+/// Relative deviation of one interval's demand that is assumed until enough intervals show it, and
+/// the number of differences between intervals for which the assumption counts.
+const PRIOR_DEVIATION: f64 = 0.15;
+const PRIOR_WEIGHT: f64 = 256.0;
+/// Most correlation of neighbouring intervals that is allowed for, also while it isn't known.
+const MOST_CORRELATION: f64 = 0.5;
+/// Deviations of one interval from the mean that noise doesn't explain.
+const JUMP_DEVIATIONS: f64 = 5.0;
+/// Demand over the mean from which a jump is a burst.
+const BURST_RATIO: f64 = 1.5;
+/// Sum of the squared distances of eight intervals from their middle: the variance of a slope is
+/// that of one interval over this.
+const SLOPE_SPREAD: f64 = 42.0;
+/// Intervals before the first plan.
+const READY_INTERVALS: u32 = 2;
 /// Intervals after which a late report is of no use.
 const LATE_INTERVALS: u32 = 8;
 /// Maps that are kept to read reports that were made before a switch.
@@ -28,10 +43,110 @@
     pub mean: Vec<f64>,
     /// Tokens a step of each expert in the newest interval.
     pub latest: Vec<f64>,
-    /// Variance of one interval's tokens a step around the mean, by expert.
-    pub variance: Vec<f64>,
     /// Change of the mean an interval, by expert.
     pub trend: Vec<f64>,
+    /// Variance of one interval's tokens a step around the mean, by expert.
+    pub variance: Vec<f64>,
+    /// Tokens a step for which a placement is planned: the mean, or the newest interval for an
+    /// expert whose demand jumped.
+    pub planned: Vec<f64>,
+    /// Variance of the planned tokens as an estimate, by expert.
+    pub errors: Vec<f64>,
+    /// Experts that no report has counted yet; the mean of the others is assumed for them.
+    pub unseen: usize,
+}
+
+impl Demand {
+    /// Tells whether enough was counted to plan: every expert, or all that the ranks will report.
+    pub fn is_ready(&self) -> bool {
+        let seen = self.layers.iter().all(|l| l.unseen == 0);
+        let counted = self
+            .layers
+            .iter()
+            .all(|l| l.planned.iter().sum::<f64>() > 0.0);
+        counted && (seen && self.intervals >= READY_INTERVALS || self.intervals >= LATE_INTERVALS)
+    }
+}
+
+impl LayerDemand {
+    fn new(experts: usize) -> LayerDemand {
+        let zeros = vec![0.0; experts];
+        LayerDemand {
+            mean: zeros.clone(),
+            latest: zeros.clone(),
+            trend: zeros.clone(),
+            variance: zeros.clone(),
+            planned: zeros.clone(),
+            errors: zeros,
+            unseen: 0,
+        }
+    }
+
+    /// Experts that suddenly became hot, the hottest first.
+    pub fn list_bursts(&self) -> Vec<usize> {
+        let excess = |e: usize| self.latest[e] - self.mean[e];
+        let mut bursts: Vec<usize> = (0..self.mean.len())
+            .filter(|e| self.has_jumped(*e) && self.latest[*e] > BURST_RATIO * self.mean[*e])
+            .collect();
+        bursts.sort_by(|a, b| excess(*b).total_cmp(&excess(*a)));
+        bursts
+    }
+
+    /// Whether the newest interval differs from the mean by more than noise explains.
+    fn has_jumped(&self, expert: usize) -> bool {
+        let difference = (self.latest[expert] - self.mean[expert]).abs();
+        difference > JUMP_DEVIATIONS * self.variance[expert].sqrt()
+    }
+
+    /// Intervals in which the demand changes by the given part of itself.
+    pub fn find_lifetime(&self, part: f64) -> f64 {
+        let squares = |values: &[f64]| values.iter().map(|v| v * v).sum::<f64>();
+        let noise = self.variance.iter().sum::<f64>() / SLOPE_SPREAD;
+        let drift = (squares(&self.trend) - noise).max(0.0).sqrt();
+        part * squares(&self.mean).sqrt() / drift.max(f64::MIN_POSITIVE)
+    }
+
+    /// Plans for the demand some intervals ahead: the trend of each expert, shrunk by the part of
+    /// it that noise explains.
+    pub fn forecast(&mut self, intervals: f64) {
+        for expert in 0..self.mean.len() {
+            if self.has_jumped(expert) {
+                continue;
+            }
+            let square = self.trend[expert].powi(2);
+            let noise = self.variance[expert] / SLOPE_SPREAD;
+            let trust = square / (square + noise).max(f64::MIN_POSITIVE);
+            let ahead = self.mean[expert] + intervals * trust * self.trend[expert];
+            self.planned[expert] = ahead.max(0.5 * self.mean[expert]);
+        }
+    }
+
+    /// Assumes the mean of the other experts for those without any count.
+    fn fill_unseen(&mut self) {
+        let seen: Vec<f64> = self.mean.iter().copied().filter(|m| !m.is_nan()).collect();
+        self.unseen = self.mean.len() - seen.len();
+        let usual = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
+        for expert in 0..self.mean.len() {
+            if self.mean[expert].is_nan() {
+                self.mean[expert] = usual;
+                self.latest[expert] = usual;
+            }
+        }
+    }
+
+    /// Chooses for what to plan, once mean, newest interval and variance are known; `errors`
+    /// holds the variance of each mean over that of one interval.
+    fn plan(&mut self) {
+        for expert in 0..self.mean.len() {
+            let jumped = self.has_jumped(expert);
+            self.planned[expert] = match jumped {
+                true => self.latest[expert],
+                false => self.mean[expert],
+            };
+            let kept = if jumped { 1.0 } else { self.errors[expert] };
+            self.errors[expert] = self.variance[expert] * kept;
+        }
+    }
 }
 
 /// Estimated demand of a group.
@@ -97,6 +212,8 @@
     maps: VecDeque<ExpertMap>,
     ranks: Vec<RankState>,
     intervals: VecDeque<Interval>,
+    /// Last rate of each expert that left the intervals; not a number before.
+    past: Vec<f64>,
     newest: Option<u32>,
     counted: u32,
     steps: f64,
@@ -110,6 +227,7 @@
             maps: VecDeque::from([map]),
             ranks: vec![RankState::default(); usize::from(shape.ranks)],
             intervals: VecDeque::new(),
+            past: vec![f64::NAN; usize::from(shape.layers) * usize::from(shape.experts)],
             newest: None,
             counted: 0,
             steps: 0.0,
@@ -178,7 +296,9 @@
                 });
                 self.counted += 1;
             }
-            self.intervals.truncate(LATE_INTERVALS as usize);
+            while self.intervals.len() > LATE_INTERVALS as usize {
+                self.forget_oldest();
+            }
             self.newest = Some(number);
             return Some(0);
         }
@@ -186,6 +306,17 @@
         (age < self.intervals.len()).then_some(age)
     }
 
+    fn forget_oldest(&mut self) {
+        let Some(oldest) = self.intervals.pop_back() else {
+            return;
+        };
+        for (at, steps) in oldest.steps.iter().enumerate() {
+            if *steps > 0.0 {
+                self.past[at] = oldest.tokens[at] / steps;
+            }
+        }
+    }
+
     /// The demand as far as the reports show it.
     pub fn estimate(&self) -> Demand {
         let experts = usize::from(self.shape.experts);
@@ -201,37 +332,43 @@
     }
 
     fn estimate_layer(&self, start: usize, experts: usize) -> LayerDemand {
-        let mut layer = LayerDemand {
-            mean: vec![0.0; experts],
-            latest: vec![0.0; experts],
-            variance: vec![0.0; experts],
-            trend: vec![0.0; experts],
-        };
-        let mut changes = Vec::new();
+        let mut layer = LayerDemand::new(experts);
+        let mut changes = [Vec::new(), Vec::new()];
         for expert in 0..experts {
             let series = self.list_rates(start + expert);
             let weights: f64 = series.iter().map(|(age, _, seen)| weigh(*age) * seen).sum();
             if weights <= 0.0 {
+                layer.mean[expert] = self.past[start + expert];
+                layer.latest[expert] = layer.mean[expert];
+                layer.errors[expert] = 1.0;
                 continue;
             }
-            let sum: f64 = series
-                .iter()
-                .map(|(age, rate, seen)| weigh(*age) * seen * rate)
-                .sum();
+            let (mut sum, mut squares) = (0.0, 0.0);
+            for (age, rate, seen) in &series {
+                sum += weigh(*age) * seen * rate;
+                squares += (weigh(*age) * seen).powi(2);
+            }
             let mean = sum / weights;
+            layer.errors[expert] = squares / (weights * weights);
             layer.mean[expert] = mean;
             layer.latest[expert] = series[0].1;
             layer.trend[expert] = fit_slope(&series);
-            for pair in series.windows(2) {
-                changes.push((pair[0].1 - pair[1].1).powi(2) / mean.max(f64::MIN_POSITIVE).powi(2));
+            if mean <= 0.0 {
+                continue;
+            }
+            for (lag, found) in (1..).zip(&mut changes) {
+                let pairs = series.iter().zip(series.iter().skip(lag));
+                let square = |new: f64, old: f64| ((new - old) / mean).powi(2) / 2.0;
+                found.extend(pairs.map(|(new, old)| square(new.1, old.1)));
             }
         }
-        // The median over all experts keeps a burst from hiding itself in the variance. The median
-        // of a squared normal variable is 0.455, and a difference has twice the variance.
-        let relative = find_median(&mut changes).unwrap_or(0.0) / (2.0 * 0.455);
-        for (variance, mean) in layer.variance.iter_mut().zip(&layer.mean) {
-            *variance = (relative * mean * mean).max(mean / self.steps.max(1.0));
+        layer.fill_unseen();
+        let (relative, correlation) = pool_variance(&mut changes);
+        for (expert, mean) in layer.mean.iter().enumerate() {
+            layer.variance[expert] = (relative * mean * mean).max(mean / self.steps.max(1.0));
+            layer.errors[expert] *= 1.0 + 2.0 * DECAY * correlation;
         }
+        layer.plan();
         layer
     }
 
@@ -297,6 +434,26 @@
     }
 }
 
+/// Relative variance of an interval and correlation of neighbouring intervals over all experts of
+/// a layer, from half the squared differences of intervals one and two apart.
+///
+/// Answers that last from one interval into the next make neighbours alike, so only the intervals
+/// two apart show the whole variance. The median keeps a burst from hiding itself in the variance;
+/// the median of a squared normal variable is 0.455.
+fn pool_variance(changes: &mut [Vec<f64>; 2]) -> (f64, f64) {
+    let weight = changes[1].len() as f64;
+    let [near, far] = changes
+        .each_mut()
+        .map(|c| find_median(c).unwrap_or(0.0) / 0.455);
+    let prior = PRIOR_DEVIATION * PRIOR_DEVIATION;
+    let relative = (far * weight + prior * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT);
+    let correlation = match far > 0.0 {
+        true => (1.0 - near / far).clamp(0.0, MOST_CORRELATION),
+        false => MOST_CORRELATION,
+    };
+    (relative, correlation)
+}
+
 fn weigh(age: usize) -> f64 {
     DECAY.powi(i32::try_from(age).unwrap_or(i32::MAX))
 }
--- a/crates/placement/src/explanation.rs
+++ b/crates/placement/src/explanation.rs
@@ -32,7 +32,7 @@
         /// The layer.
         layer: u16,
     },
-    /// further moves wait for the rate of the weight store
+    /// further moves wait for the weight store or for an urgent change
     Staged,
     /// expert {expert} of layer {layer} became hot and gets a replica on rank {rank}
     Burst {
@@ -73,6 +73,17 @@
 }
 
 impl Explanation {
+    /// Whether it explains a change that is made.
+    pub fn is_change(&self) -> bool {
+        matches!(
+            self,
+            Explanation::Repacked
+                | Explanation::Burst { .. }
+                | Explanation::Replicated { .. }
+                | Explanation::Split { .. }
+        )
+    }
+
     /// The name in metrics and logs.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod policy;
 mod priced;
 mod split;
+mod watch;
 
 pub use codec::CodecError;
 pub use codec::Report;
--- a/crates/placement/src/packing.rs
+++ b/crates/placement/src/packing.rs
@@ -8,6 +8,7 @@
 use crate::explanation::Explanation;
 use crate::map::ExpertMap;
 use crate::map::MapError;
+use crate::map::Replica;
 use crate::map::Shape;
 use crate::policy::Change;
 use crate::policy::Cost;
@@ -75,6 +76,8 @@
     let mut draft = Draft {
         experts: vec![Vec::new(); demand.len()],
         loads: vec![0.0; ranks],
+        spreads: vec![0.0; ranks],
+        noise: vec![0.0; demand.len()],
     };
     let mut free = vec![slots; ranks];
     for expert in order {
@@ -126,21 +129,30 @@
     counts
 }
 
-/// The loads between two maps.
+/// The loads between two maps, by layer; a slot that becomes free on the rank is named.
 pub fn list_loads(old: &ExpertMap, new: &ExpertMap) -> Vec<Load> {
     let mut loads = Vec::new();
     for (layer, (before, after)) in old.layers.iter().zip(&new.layers).enumerate() {
+        if before == after {
+            continue;
+        }
+        let mut added: Vec<(u16, u16)> = Vec::new();
+        let mut freed: Vec<(u16, u16)> = Vec::new();
         for (expert, (had, has)) in before.experts.iter().zip(&after.experts).enumerate() {
-            for replica in has {
-                if had.iter().all(|r| r.rank != replica.rank) {
-                    loads.push(Load {
-                        layer: layer as u16,
-                        expert: expert as u16,
-                        rank: replica.rank,
-                        evicts: None,
-                    });
-                }
-            }
+            let missing = |from: &[Replica], rank: u16| from.iter().all(|r| r.rank != rank);
+            let fresh = has.iter().filter(|r| missing(had, r.rank));
+            added.extend(fresh.map(|r| (expert as u16, r.rank)));
+            let gone = had.iter().filter(|r| missing(has, r.rank));
+            freed.extend(gone.map(|r| (expert as u16, r.rank)));
+        }
+        for (expert, rank) in added {
+            let slot = freed.iter().position(|(_, r)| *r == rank);
+            loads.push(Load {
+                layer: layer as u16,
+                expert,
+                rank,
+                evicts: slot.map(|at| freed.swap_remove(at).0),
+            });
         }
     }
     loads
@@ -155,7 +167,7 @@
     }
 
     fn decide(&mut self, view: &View<'_>) -> Decision {
-        let known = view.demand.intervals > 0;
+        let known = view.demand.is_ready();
         let demand: Vec<Vec<f64>> = view.demand.layers.iter().map(|l| l.mean.clone()).collect();
         let version = view.map.version.next();
         let packed = pack_map(view.shape, &demand, &view.demand.speeds, version);
--- a/crates/placement/src/split.rs
+++ b/crates/placement/src/split.rs
@@ -4,6 +4,11 @@
 use crate::map::Replica;
 use crate::map::WHOLE;
 
+/// Weight of an even split over the replicas of an expert against an even load of the ranks. Of two
+/// splits that load the ranks almost alike, the more even one suffers less from noise in the demand
+/// of single experts.
+const EVENNESS: f64 = 0.15;
+
 /// One replica while a plan is made.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Part {
@@ -19,12 +24,15 @@
     pub experts: Vec<Vec<Part>>,
     /// Tokens a step of each rank.
     pub loads: Vec<f64>,
+    /// Variance of the tokens of each rank that comes from the noise of its experts' demand.
+    pub spreads: Vec<f64>,
+    /// Relative variance of the demand of each expert.
+    pub noise: Vec<f64>,
 }
 
 impl Draft {
     /// The layer as it is, under the given demand.
-    #[expect(dead_code)]
-    pub fn from_map(layer: &LayerMap, demand: &[f64], ranks: usize) -> Draft {
+    pub fn from_map(layer: &LayerMap, demand: &[f64], noise: Vec<f64>, ranks: usize) -> Draft {
         let split = |(on, tokens): (&Vec<Replica>, &f64)| {
             let part = |replica: &Replica| Part {
                 rank: replica.rank,
@@ -35,6 +43,8 @@
         let mut draft = Draft {
             experts: layer.experts.iter().zip(demand).map(split).collect(),
             loads: vec![0.0; ranks],
+            spreads: vec![0.0; ranks],
+            noise,
         };
         draft.sum_loads();
         draft
@@ -43,11 +53,38 @@
     /// Adds up the loads anew, so that rounding errors of many small changes don't pile up.
     pub fn sum_loads(&mut self) {
         self.loads.fill(0.0);
-        for part in self.experts.iter().flatten() {
-            self.loads[usize::from(part.rank)] += part.tokens;
+        self.spreads.fill(0.0);
+        for expert in 0..self.experts.len() {
+            self.put(expert, 1.0);
+        }
+    }
+
+    /// Adds the parts of an expert to the ranks, or takes them away with a sign of -1.
+    fn put(&mut self, expert: usize, sign: f64) {
+        for part in &self.experts[expert] {
+            let rank = usize::from(part.rank);
+            self.loads[rank] += sign * part.tokens;
+            self.spreads[rank] += sign * part.tokens * part.tokens * self.noise[expert];
         }
     }
 
+    /// Adds a replica.
+    pub fn add_part(&mut self, expert: usize, rank: u16, tokens: f64) {
+        self.put(expert, -1.0);
+        self.experts[expert].push(Part { rank, tokens });
+        self.put(expert, 1.0);
+    }
+
+    /// Removes a replica and returns its tokens.
+    pub fn drop_part(&mut self, expert: usize, rank: u16) -> f64 {
+        self.put(expert, -1.0);
+        let parts = &mut self.experts[expert];
+        let at = parts.iter().position(|p| p.rank == rank);
+        let tokens = at.map_or(0.0, |at| parts.remove(at).tokens);
+        self.put(expert, 1.0);
+        tokens
+    }
+
     /// Levels the loads by `sweeps` passes over all experts.
     ///
     /// Each pass splits one expert after the other at the least sum of squared load over speed.
@@ -65,26 +102,18 @@
 
     /// Splits one expert over its replicas.
     pub fn split_expert(&mut self, expert: usize, speeds: &[f64]) {
+        self.put(expert, -1.0);
         let parts = &mut self.experts[expert];
         let total: f64 = parts.iter().map(|p| p.tokens).sum();
-        if let [only] = parts.as_mut_slice() {
-            only.tokens = total;
-            return;
-        }
-        for part in parts.iter() {
-            self.loads[usize::from(part.rank)] -= part.tokens;
-        }
         let level = fill_level(parts, &self.loads, speeds, total);
         let mut rest = total;
         for part in parts.iter_mut() {
             let rank = usize::from(part.rank);
-            part.tokens = (level * speeds[rank] - self.loads[rank]).clamp(0.0, rest);
+            part.tokens = take(level, self.loads[rank], speeds[rank]).clamp(0.0, rest);
             rest -= part.tokens;
         }
         parts[0].tokens += rest;
-        for part in parts.iter() {
-            self.loads[usize::from(part.rank)] += part.tokens;
-        }
+        self.put(expert, 1.0);
     }
 
     /// The layer with whole shares that add up.
@@ -95,16 +124,22 @@
     }
 }
 
-/// Load over speed at which the replicas take up all tokens.
+/// Tokens that a replica takes up to a level.
+fn take(level: f64, load: f64, speed: f64) -> f64 {
+    (level * speed - load) / (1.0 + EVENNESS)
+}
+
+/// Level at which the replicas take up all tokens.
+///
+/// A replica whose rank is above the level takes nothing. Leaving such replicas out lowers the
+/// level, so they are left out until none is above it.
 fn fill_level(parts: &[Part], loads: &[f64], speeds: &[f64], total: f64) -> f64 {
-    // The level is the least over all prefixes of the ranks by level, which few enough replicas
-    // allow to find by repeated exclusion of the ranks above it.
     let mut ceiling = f64::INFINITY;
     loop {
-        let (mut load, mut speed) = (total, 0.0);
+        let (mut load, mut speed) = (total * (1.0 + EVENNESS), 0.0);
         for part in parts {
             let rank = usize::from(part.rank);
-            if loads[rank] / speeds[rank] < ceiling {
+            if loads[rank] < ceiling * speeds[rank] {
                 load += loads[rank];
                 speed += speeds[rank];
             }
@@ -115,8 +150,7 @@
         let level = load / speed;
         let above = parts.iter().any(|part| {
             let rank = usize::from(part.rank);
-            let own = loads[rank] / speeds[rank];
-            own < ceiling && own > level
+            loads[rank] < ceiling * speeds[rank] && loads[rank] > level * speeds[rank]
         });
         ceiling = level;
         if !above {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests, one file a feature.
 
 mod document;
+mod placement;
+mod placement_counts;
 mod standins;
 mod type_parsing;
