--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,8 @@
 mod operators;
 mod promotion;
 mod rate_limits;
+mod placement;
+mod placement_counts;
 mod standins;
 mod store;
 mod subset_choice;
