--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,4 +18,7 @@
 mod outcomes;
 mod request_history;
 mod request_random;
+mod choice;
+mod ejection;
+mod queue;
 mod type_parsing;
