Note first tokens when they arrive

Cause: the replica choice learned the first-token time only at the end of a stream, so a slow replica kept its traffic for a whole stream.

Change: the driver reports the time of the first part of an answer at once.

Ruled out: the head of the answer, which an engine may send long before its first token.

--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -59,7 +59,6 @@
     sender: Sender,
     receiver: Receiver,
     sent: Time,
-    first: Option<Time>,
     chunks: u64,
 }
 
@@ -173,19 +172,25 @@
                 Event::Refused(attempt, reason)
             }
             Ok(Message::Head(head)) => {
-                open.first.get_or_insert(now);
                 self.held = Held::Head(head);
                 Event::Head(attempt)
             }
             Ok(Message::Chunk(bytes)) => {
                 let index = open.chunks;
                 open.chunks += 1;
+                if index == 0 {
+                    let after = now.since(open.sent);
+                    self.entry
+                        .fleet
+                        .note_first(&self.spec.service, &open.agent, after, now);
+                }
                 self.held = Held::Chunk(bytes);
                 Event::Chunk(attempt, index)
             }
             Ok(Message::End(status)) => {
                 let chunks = open.chunks;
-                let first_token = open.first.unwrap_or(now).since(open.sent);
+                // With a body the time of its first part was noted when it arrived.
+                let first_token = (chunks == 0).then(|| now.since(open.sent));
                 self.observe(&status, now);
                 self.close(Done::Ok { first_token });
                 Event::End(attempt, chunks)
@@ -312,7 +317,6 @@
             sender,
             receiver: Receiver::new(Some(self.spec.id), receive),
             sent: now,
-            first: None,
             chunks: 0,
         });
         if sent.is_err() {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -321,6 +321,17 @@
         })
     }
 
+    /// Tells the replica choice how long the first part of an answer took.
+    pub(crate) fn note_first(
+        &self,
+        service: &ServiceName,
+        agent: &AgentId,
+        after: Duration,
+        now: Time,
+    ) {
+        self.with_pool(service, |pool| pool.picker.first_token(agent, after, now));
+    }
+
     /// Tells the replica choice how an attempt ended.
     pub(crate) fn note_done(&self, service: &ServiceName, agent: &AgentId, done: Done, now: Time) {
         self.with_pool(service, |pool| pool.picker.done(agent, done, now));
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,24 +1,24 @@
 //! Integration tests, one file a feature.
 
+mod call_util;
+mod choice;
+mod claims;
 mod document;
+mod ejection;
 mod history;
 mod lease;
+mod ledger;
 mod membership;
 mod operators;
-mod promotion;
-mod rate_limits;
+mod outcomes;
 mod placement;
 mod placement_counts;
+mod promotion;
+mod queue;
+mod rate_limits;
+mod request_history;
+mod request_random;
 mod standins;
 mod store;
 mod subset_choice;
-mod call_util;
-mod claims;
-mod ledger;
-mod outcomes;
-mod request_history;
-mod request_random;
-mod choice;
-mod ejection;
-mod queue;
 mod type_parsing;
