Reach the agent of a claim outside the subset

Cause: an entry connects to a subset of the replicas, but the claim of a repeated keyed call may name any agent of the service; the lookup then failed and the repeat ended as outcome_lost although the answer was there.

Change: the entry connects to that agent for the lookup.

Ruled out: sending the repeat to the entry that holds the connection, because entries don't know each other.

Before and after: not reachable at today's sizes, where the subset is all replicas; covered by reading only, no test yet.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -53,6 +53,14 @@
         self.agents.remove(&address).is_some()
     }
 
+    /// The address of an agent, connected or not.
+    pub(super) fn find_address(&self, agent: &AgentId) -> Option<SocketAddr> {
+        let mut known = self.agents.iter();
+        known
+            .find(|(_, known)| known.agent == *agent)
+            .map(|(address, _)| *address)
+    }
+
     /// Tells whether this entry keeps a connection to an agent. One that isn't known yet is
     /// connected to once, to learn its service.
     pub(super) fn is_chosen(&self, address: SocketAddr) -> bool {
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -402,7 +402,7 @@
             window: row.window,
         };
         let question = Message::Lookup(named, row.organisation.clone());
-        let answer = match self.entry.fleet.find_connection(&row.agent) {
+        let answer = match self.entry.fleet.reach(&row.agent).await {
             Some(connection) => exchange::ask(&connection, row.id, &question).await,
             None => None,
         };
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -279,6 +279,16 @@
             .map(|link| link.connection.clone())
     }
 
+    /// The connection to an agent, or a connection of its own to an agent outside the subset: the
+    /// claim of a keyed call may name any agent of the service.
+    pub(crate) async fn reach(&self, agent: &AgentId) -> Option<Connection> {
+        if let Some(connection) = self.find_connection(agent) {
+            return Some(connection);
+        }
+        let address = Self::lock(&self.directory).find_address(agent)?;
+        self.dialer.connect(address).await.ok()
+    }
+
     /// Takes in the status of an agent.
     pub(crate) fn observe(&self, agent: &AgentId, status: &Status, now: Time) {
         let (service, seen) = {
