Stand in for a lock-step group of ranks

Cause: the map switch and the placement had no engine to run against.

Ruled out: one process for each rank, because the lock-step would need a protocol of its own, and its faults would hide those that are tested.

Conclusion: the agent's part of a group can be run as a process.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -23,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::tally::Counters;
@@ -115,6 +116,15 @@
 
 /// Builds the routes of one engine and starts its step loop.
 pub fn build_router(options: &Options) -> Router {
+    build(options, None)
+}
+
+/// Builds the routes of one engine that takes a step whenever the number in `steps` changes.
+pub fn build_paced(options: &Options, steps: watch::Receiver<u64>) -> Router {
+    build(options, Some(steps))
+}
+
+fn build(options: &Options, steps: Option<watch::Receiver<u64>>) -> Router {
     let (arrivals, arriving) = mpsc::unbounded_channel();
     let shared = Arc::<Shared>::default();
     lock(&shared.load).slots = options.slots;
@@ -123,6 +133,7 @@
         running: Vec::new(),
         shared: Arc::clone(&shared),
         options: options.clone(),
+        steps,
     };
     tokio::spawn(batch.run(arriving));
     let engine = Engine {
@@ -219,6 +230,8 @@
     running: Vec<Sequence>,
     shared: Arc<Shared>,
     options: Options,
+    /// Number of the newest step of a group; none for an engine that steps by itself.
+    steps: Option<watch::Receiver<u64>>,
 }
 
 impl Batch {
@@ -240,11 +253,7 @@
             }
             self.admit();
             due += self.step_time();
-            if due.saturating_duration_since(Instant::now()) >= TIMER_STEP {
-                tokio::time::sleep_until(due).await;
-            } else {
-                tokio::task::yield_now().await;
-            }
+            self.wait_step(due).await;
             window.1 += self.step();
             let elapsed = window.0.elapsed();
             if elapsed >= RATE_WINDOW {
@@ -254,6 +263,19 @@
         }
     }
 
+    async fn wait_step(&mut self, due: Instant) {
+        if let Some(steps) = &mut self.steps {
+            // The group of a closed channel takes no more steps.
+            if steps.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        } else if due.saturating_duration_since(Instant::now()) >= TIMER_STEP {
+            tokio::time::sleep_until(due).await;
+        } else {
+            tokio::task::yield_now().await;
+        }
+    }
+
     fn step_time(&self) -> Duration {
         let sequences = self.running.len() as u64;
         Duration::from_millis(self.options.token_ms)
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod client;
 pub mod engine;
+pub mod group;
 pub mod keys;
 pub mod load;
 pub mod plain;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -6,6 +6,7 @@
 
 use siskinbend_standins::call;
 use siskinbend_standins::engine;
+use siskinbend_standins::group;
 use siskinbend_standins::keys;
 use siskinbend_standins::load;
 use siskinbend_standins::plain;
@@ -20,6 +21,9 @@
     /// Model engine with continuous batching
     #[bpaf(command)]
     Engine(#[bpaf(external(engine::options))] engine::Options),
+    /// Ranks that step together on an expert map
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::options))] group::Options),
     /// Plain service that counts executions
     #[bpaf(command)]
     Plain(#[bpaf(external(plain::options))] plain::Options),
@@ -60,6 +64,10 @@
         Command::Engine(options) => {
             server::run(options.listen, engine::build_router(&options)).await
         }
+        Command::Group(options) => match group::build_router(&options) {
+            Ok(router) => server::run(options.listen, router).await,
+            Err(error) => Err(error.into()),
+        },
         Command::Plain(options) => server::run(options.listen, plain::build_router(&options)).await,
         Command::Platform(options) => server::run(options.listen, platform::build_router()).await,
         Command::Keys(options) => keys::write(&options).map(|()| true),
