--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,8 @@
 mod membership;
 mod operators;
 mod promotion;
+mod placement;
+mod placement_counts;
 mod standins;
 mod store;
 mod type_parsing;
