Run the agents of a group beside their ranks

Cause: the machines of the map switch and the placement ran in no process.

The agents exchange messages over the QUIC transport, connecting when there is something to send; each reports its counts to the coordinator, whose agent decides on the placement at the price of the document and begins a switch with a fencing number from the lease lease/group/NAME. Load commands pass the fence, which learns the number of the lease row after each start; gates and decisions need neither. Only the agent of rank 0 tells entries that it takes requests.

--- a/crates/standins/src/group.rs
+++ b/crates/standins/src/group.rs
@@ -84,6 +84,12 @@
     /// Seed of the demand
     #[bpaf(argument("N"), fallback(1))]
     pub seed: u64,
+    /// Amplitude of the logarithm of an expert's popularity; 0 is even
+    #[bpaf(argument("A"), fallback(1.0))]
+    pub skew: f64,
+    /// Steps in which the popularity of an expert rises and falls once; 0 stops the drift
+    #[bpaf(argument("STEPS"), fallback(100_000))]
+    pub period: u64,
     /// Sequences that run at a time
     #[bpaf(argument("N"), fallback(8))]
     pub sequences: usize,
@@ -167,8 +173,14 @@
         slots: options.slots,
     };
     let even = Duration::from_millis(options.step_ms);
+    let mut ranks = Ranks::new(shape, options.seed, even)?;
+    ranks.demand.settings = Demand {
+        skew: options.skew,
+        period: options.period,
+        ..Demand::default()
+    };
     let group = Arc::new(Group {
-        ranks: Mutex::new(Ranks::new(shape, options.seed, even)?),
+        ranks: Mutex::new(ranks),
         faults: Mutex::default(),
         served: Mutex::new(Instant::now()),
         changed: Notify::new(),
--- a/crates/standins/src/group/ranks.rs
+++ b/crates/standins/src/group/ranks.rs
@@ -69,12 +69,16 @@
 }
 
 /// Steps in which the ranks used the same maps.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Span {
     /// The first of these steps.
     pub first: u64,
     /// Version of the map of each rank.
     pub versions: Vec<u64>,
+    /// Number of these steps.
+    pub steps: u64,
+    /// Mean skew of these steps.
+    pub skew: f64,
 }
 
 /// Answer of `GET /group`.
@@ -100,6 +104,19 @@
     pub spans: VecDeque<Span>,
 }
 
+impl Totals {
+    fn note_skew(&mut self, skew: f64) {
+        self.skew += match self.steps {
+            1 => skew,
+            _ => SKEW_GAIN * (skew - self.skew),
+        };
+        if let Some(span) = self.spans.back_mut() {
+            span.steps += 1;
+            span.skew += (skew - span.skew) / span.steps as f64;
+        }
+    }
+}
+
 /// A map and the bytes in which it came.
 #[derive(Debug)]
 pub(super) struct KeptMap {
@@ -243,8 +260,12 @@
         if spans.len() == SPANS {
             spans.pop_front();
         }
-        let first = step.0;
-        spans.push_back(Span { first, versions });
+        spans.push_back(Span {
+            first: step.0,
+            versions,
+            steps: 0,
+            skew: 0.0,
+        });
     }
 
     /// Counts the tokens of a step. The ranks exchange tokens in each layer, so that the slowest
@@ -280,10 +301,7 @@
             .sum();
         let sum: f64 = busy.iter().flatten().sum();
         let skew = slowest / (sum / self.ranks.len() as f64) - 1.0;
-        self.totals.skew += match step.0 {
-            1 => skew,
-            _ => SKEW_GAIN * (skew - self.totals.skew),
-        };
+        self.totals.note_skew(skew);
         self.even.mul_f64(slowest / even_tokens(self.shape))
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod platform;
 pub mod runs;
 pub mod server;
+pub mod switches;
 pub mod tally;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -13,6 +13,7 @@
 use siskinbend_standins::platform;
 use siskinbend_standins::runs;
 use siskinbend_standins::server;
+use siskinbend_standins::switches;
 
 /// Runs one stand-in of the platform or of a backend server, or a test caller
 #[derive(Debug, Clone, Bpaf)]
@@ -42,6 +43,9 @@
     /// Checks that no reference ran twice
     #[bpaf(command)]
     Runs(#[bpaf(external(runs::options))] runs::Options),
+    /// Waits for map switches of a group and checks that no step used two maps
+    #[bpaf(command)]
+    Switches(#[bpaf(external(switches::options))] switches::Options),
     /// Prints ports of 127.0.0.1 that are free for TCP and UDP
     #[bpaf(command)]
     Ports {
@@ -74,6 +78,7 @@
         Command::Call(options) => call::run(&options).await,
         Command::Load(options) => load::run(&options).await,
         Command::Runs(options) => runs::run(&options).await,
+        Command::Switches(options) => switches::run(&options).await,
         Command::Ports { count } => server::print_ports(count),
     };
     match done {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -64,6 +64,8 @@
     pub zone: Zone,
     /// Service of its backend server.
     pub service: ServiceName,
+    /// Takes requests; false for the agents of a group other than that of rank 0.
+    pub serving: bool,
     /// Its state.
     pub status: Status,
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod backend;
 mod core;
+mod group;
 mod peer;
 
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use siskinbend_groups::RankIndex;
 use siskinbend_store::Vm;
 use siskinbend_store::VmState;
 use siskinbend_types::Incarnation;
@@ -65,6 +67,8 @@
     pub(crate) backend: Backend,
     pub(crate) active: Arc<Active>,
     pub(crate) spread: Arc<Spread>,
+    /// The agent's part of a group of ranks, if its backend server is one of them.
+    pub(crate) group: Option<Arc<group::Port>>,
     /// Wakes the tasks that push reports to the entries.
     pub(crate) changed: watch::Sender<()>,
 }
@@ -93,6 +97,7 @@
             backend: Backend::new(settings.backend.clone()),
             active,
             spread,
+            group: settings.group.as_ref().map(|_| Arc::default()),
             changed: watch::Sender::new(()),
             settings,
         })
@@ -110,10 +115,17 @@
             agent: self.settings.common.name.clone(),
             zone: self.settings.common.zone.clone(),
             service: self.settings.service.clone(),
+            serving: self.is_serving(),
             status: self.status(),
         }
     }
 
+    /// Tells whether entries may choose this agent: of a group, that of rank 0 faces them.
+    fn is_serving(&self) -> bool {
+        let group = self.settings.group.as_ref();
+        group.is_none_or(|group| group.rank == RankIndex(0))
+    }
+
     /// Largest request body that the document allows for a dispatch.
     pub(crate) fn body_limit(&self, dispatch: &Dispatch) -> usize {
         let limit = self.active.document().and_then(|document| {
@@ -149,6 +161,15 @@
     fn status(&self) -> ProcessStatus {
         let status = Agent::status(self);
         let newest = status.newest;
+        let mut notes = vec![format!(
+            "service={} running={} queued={} slots={} window={}",
+            self.settings.service,
+            status.load.running,
+            status.load.queued,
+            status.load.slots,
+            status.window,
+        )];
+        notes.extend(self.group.as_ref().map(|group| group.describe()));
         ProcessStatus {
             name: self.settings.common.name.to_string(),
             role: "agent".to_owned(),
@@ -157,14 +178,7 @@
             draining: status.draining,
             version: newest.map(|n| n.version.0),
             digest: newest.map(|n| n.digest.to_string()),
-            notes: vec![format!(
-                "service={} running={} queued={} slots={} window={}",
-                self.settings.service,
-                status.load.running,
-                status.load.queued,
-                status.load.slots,
-                status.window,
-            )],
+            notes,
         }
     }
 
@@ -218,6 +232,7 @@
         tokio::spawn(Arc::clone(&agent.spread).run());
     }
     tokio::spawn(watch_vms(Arc::clone(&agent)));
+    group::start(&agent, &endpoint, &tasks);
     tokio::spawn(peer::accept(
         Arc::clone(&agent),
         endpoint.clone(),
@@ -263,6 +278,13 @@
         let left = agent.status().load;
         log::warn!(running = left.running, queued = left.queued; "drain_time_exceeded");
     }
+    if let Some(group) = &agent.group {
+        // The steps of the whole group wait for the decision of a switch that this agent promised.
+        let settled = tokio::time::timeout(limits::GROUP_LEAVE, group.wait_settled()).await;
+        if settled.is_err() {
+            log::warn!(group = group.describe(); "left_during_switch");
+        }
+    }
     endpoint.close(quinn::VarInt::from_u32(0), b"drained");
     // The peers get the close frame unless the network is down; then there is nothing to wait for.
     let _ = tokio::time::timeout(limits::CONTROL_TIMEOUT, endpoint.wait_idle()).await;
--- a/src/agent/peer.rs
+++ b/src/agent/peer.rs
@@ -1,6 +1,5 @@
 //! Accepts peers and their streams.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use quinn::Connection;
@@ -37,14 +36,20 @@
         }
     };
     log::debug!(peer:% = from; "peer_connected");
-    agent.spread.add_peer(&connection);
     let announcing = tokio::spawn(announce(Arc::clone(&agent), connection.clone()));
+    serve_streams(agent, connection, tasks).await;
+    announcing.abort();
+    log::debug!(peer:% = from; "peer_left");
+}
+
+/// Serves the streams of a connection until it is lost.
+pub(super) async fn serve_streams(agent: Arc<Agent>, connection: Connection, tasks: TaskTracker) {
+    agent.spread.add_peer(&connection);
     while let Ok((send, receive)) = connection.accept_bi().await {
-        tasks.spawn(serve_stream(Arc::clone(&agent), from, send, receive));
+        let connection = connection.clone();
+        tasks.spawn(serve_stream(Arc::clone(&agent), connection, send, receive));
     }
-    announcing.abort();
     agent.spread.remove_peer(&connection);
-    log::debug!(peer:% = from; "peer_left");
 }
 
 /// Introduces the agent and pushes its status whenever it changes in a way that can't wait.
@@ -59,7 +64,12 @@
     Ok(())
 }
 
-async fn serve_stream(agent: Arc<Agent>, from: SocketAddr, send: SendStream, receive: RecvStream) {
+async fn serve_stream(
+    agent: Arc<Agent>,
+    connection: Connection,
+    send: SendStream,
+    receive: RecvStream,
+) {
     let mut receiver = Receiver::new(None, receive);
     let first = match receiver.receive().await {
         Ok(message) => message,
@@ -83,8 +93,17 @@
             Message::Found(agent.core.lookup(&attempt, &owner, now))
         }
         Message::Probe => Message::Report(agent.status()),
-        Message::Beacon(newest) => agent.spread.answer_beacon(from, newest),
+        Message::Beacon(newest) => {
+            let from = connection.remote_address();
+            agent.spread.answer_beacon(from, newest)
+        }
         Message::Fetch(wanted) => return agent.spread.serve_fetch(wanted, sender).await,
+        Message::Group(bytes) if agent.group.is_some() => {
+            if let Some(group) = &agent.group {
+                group.receive(&bytes, connection);
+            }
+            return;
+        }
         _ => {
             log::warn!(request:% = id; "unexpected_frame");
             sender.reset();
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -79,9 +79,11 @@
         incarnation:% = hello.status.incarnation;
         "agent_connected"
     );
-    entry
-        .fleet
-        .add(connection, &hello, opened, entry.clock.now());
+    if hello.serving {
+        entry
+            .fleet
+            .add(connection, &hello, opened, entry.clock.now());
+    }
     entry.spread.add_peer(connection);
     observe(entry, connection, &hello, &hello.status);
     loop {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -74,3 +74,31 @@
 
 /// Interval at which an agent reads the platform's VM list, before jitter.
 pub const AGENT_LIST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval of count reports and placement decisions of a group.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval at which an agent reads the state of its rank; shorter than most steps.
+pub const RANK_POLL: Duration = Duration::from_millis(25);
+
+/// Longest time for a rank to answer a command.
+pub const RANK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which the lease machine of a group's coordinator runs.
+pub const LEASE_TICK: Duration = Duration::from_millis(500);
+
+/// Term of a group's lease. At 770 groups, three renewals a term are 77 writes a second.
+pub const LEASE_TERM: Duration = Duration::from_secs(30);
+
+/// Pause before an agent reads the lease row again after a failure.
+pub const FENCE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Largest answer of a rank, in bytes.
+pub const RANK_ANSWER_BYTES: usize = 16 << 20;
+
+/// Messages of a group that wait for its task; the senders repeat those that are dropped.
+pub const GROUP_INBOX: usize = 4_096;
+
+/// Longest time that a leaving agent waits for the decision of a switch. The other agents may
+/// be leaving too, and then the decision never comes.
+pub const GROUP_LEAVE: Duration = Duration::from_secs(5);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -37,6 +37,8 @@
     pub refusals: Family<ReasonLabels, Counter>,
     /// Attempts tried again, by the reason of the failed one.
     pub retries: Family<ReasonLabels, Counter>,
+    /// Faults, refusals and aborts in the agent's group, by reason.
+    pub group_faults: Family<ReasonLabels, Counter>,
     /// Requests in flight.
     pub inflight: Gauge,
     /// Seconds until the head of the answer.
@@ -51,6 +53,7 @@
         let requests = Family::default();
         let refusals = Family::default();
         let retries = Family::default();
+        let group_faults = Family::default();
         let inflight = Gauge::default();
         let version = Gauge::default();
         let buckets = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.2, 5.0, 30.0];
@@ -58,6 +61,11 @@
         registry.register("requests", "Finished requests", requests.clone());
         registry.register("refusals", "Refused requests or attempts", refusals.clone());
         registry.register("retries", "Attempts that were tried again", retries.clone());
+        registry.register(
+            "group_faults",
+            "Faults, refusals and aborts in a group",
+            group_faults.clone(),
+        );
         registry.register("inflight", "Requests in flight", inflight.clone());
         registry.register(
             "first_byte_seconds",
@@ -74,6 +82,7 @@
             requests,
             refusals,
             retries,
+            group_faults,
             inflight,
             latency,
             version,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use http::Uri;
 use http::uri::Authority;
 
 use siskinbend_control::promotion::Environment;
+use siskinbend_groups::RankIndex;
+use siskinbend_placement::Kind;
 use siskinbend_types::AgentId;
+use siskinbend_types::GroupName;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Zone;
 
@@ -18,6 +22,10 @@
 use crate::command::document::document_command;
 use crate::command::status::StatusFlags;
 use crate::command::status::status_flags;
+use crate::limits;
+
+/// Flags without an environment variable.
+const FLAGS_ONLY: [&str; 2] = ["--agent", "--rank-peer"];
 
 /// Load balancer for expert-parallel model groups and the services beside them
 #[derive(Debug, Clone, Bpaf)]
@@ -101,6 +109,21 @@
     /// Service that the backend server belongs to
     #[bpaf(env("SISKINBEND_SERVICE"), argument("NAME"))]
     pub service: Option<String>,
+    /// Group of ranks that the backend server belongs to
+    #[bpaf(env("SISKINBEND_GROUP"), argument("NAME"))]
+    pub group: Option<String>,
+    /// Rank of the backend server in its group, from 0
+    #[bpaf(env("SISKINBEND_RANK"), argument("N"))]
+    pub rank: Option<String>,
+    /// Agent of a rank of the group; once for each rank, this one may be left out
+    #[bpaf(argument("N=IP:PORT"))]
+    pub rank_peer: Vec<String>,
+    /// Interval of count reports and placement decisions in milliseconds; 10 s by default
+    #[bpaf(env("SISKINBEND_REPORT_MS"), argument("MS"))]
+    pub report_ms: Option<String>,
+    /// Placement policy: priced (default), replan or static
+    #[bpaf(env("SISKINBEND_POLICY"), argument("POLICY"))]
+    pub policy: Option<String>,
 }
 
 /// One mistake in the settings.
@@ -114,11 +137,16 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let variable = self.place.trim_start_matches('-').to_uppercase();
+        if FLAGS_ONLY.contains(&self.place) {
+            return write!(f, "{}: {}", self.place, self.problem);
+        }
+        let variable = self.place.trim_start_matches('-').replace('-', "_");
         write!(
             f,
-            "{} (SISKINBEND_{variable}): {}",
-            self.place, self.problem
+            "{} (SISKINBEND_{}): {}",
+            self.place,
+            variable.to_uppercase(),
+            self.problem
         )
     }
 }
@@ -170,6 +198,30 @@
     pub backend: Uri,
     /// Service that the backend server belongs to.
     pub service: ServiceName,
+    /// The rank that the backend server is, if it belongs to a group.
+    pub group: Option<Membership>,
+}
+
+/// Checked settings of an agent beside a rank of a group.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    /// Name of the group.
+    pub name: GroupName,
+    /// The rank of the agent's backend server.
+    pub rank: RankIndex,
+    /// Addresses of the agents of the other ranks.
+    pub peers: Vec<(RankIndex, SocketAddr)>,
+    /// Interval of count reports and placement decisions.
+    pub interval: Duration,
+    /// Placement policy.
+    pub policy: Kind,
+}
+
+impl Membership {
+    /// Ranks of the group as far as the settings tell.
+    pub fn count_ranks(&self) -> usize {
+        self.peers.len() + 1
+    }
 }
 
 /// Collects findings while flags are read.
@@ -309,6 +361,107 @@
         Some((name?, address?))
     }
 
+    fn check_group(&mut self, flags: &AgentFlags) -> Option<Option<Membership>> {
+        let Some(name) = &flags.group else {
+            let set = [
+                ("--rank", flags.rank.is_some()),
+                ("--rank-peer", !flags.rank_peer.is_empty()),
+                ("--report-ms", flags.report_ms.is_some()),
+                ("--policy", flags.policy.is_some()),
+            ];
+            for (place, _) in set.iter().filter(|(_, set)| *set) {
+                self.add(place, "it is given without --group");
+            }
+            return Some(None);
+        };
+        let name = self.parse("--group", name);
+        let rank = self.read("--rank", flags.rank.as_ref()).map(RankIndex);
+        let peers = self.check_peers(&flags.rank_peer, rank);
+        let interval = self.check_interval(flags.report_ms.as_ref());
+        let policy = self.check_policy(flags.policy.as_deref());
+        Some(Some(Membership {
+            name: name?,
+            rank: rank?,
+            peers: peers?,
+            interval: interval?,
+            policy: policy?,
+        }))
+    }
+
+    /// Reads the addresses of the other ranks; together with this one they have no gap.
+    fn check_peers(
+        &mut self,
+        texts: &[String],
+        own: Option<RankIndex>,
+    ) -> Option<Vec<(RankIndex, SocketAddr)>> {
+        let mut peers: Vec<(RankIndex, SocketAddr)> = Vec::new();
+        for text in texts {
+            let (rank, address) = self.check_peer(text)?;
+            if peers.iter().any(|(r, a)| *r == rank || *a == address) {
+                self.add(
+                    "--rank-peer",
+                    format_args!("\"{text}\" repeats a rank or an address"),
+                );
+            }
+            peers.push((rank, address));
+        }
+        let own = own?;
+        peers.retain(|(rank, _)| *rank != own);
+        peers.sort_unstable();
+        let ranks = peers.len() + 1;
+        let missing = (0u16..)
+            .take(ranks)
+            .map(RankIndex)
+            .find(|r| *r != own && peers.iter().all(|(p, _)| p != r));
+        if let Some(rank) = missing {
+            self.add(
+                "--rank-peer",
+                format_args!("rank {rank} is missing of {ranks} ranks"),
+            );
+        }
+        Some(peers)
+    }
+
+    fn check_peer(&mut self, text: &str) -> Option<(RankIndex, SocketAddr)> {
+        let Some((rank, address)) = text.split_once('=') else {
+            self.add(
+                "--rank-peer",
+                format_args!("\"{text}\" is not of the form N=IP:PORT"),
+            );
+            return None;
+        };
+        let rank = self.parse("--rank-peer", rank);
+        let address = self.parse("--rank-peer", address);
+        Some((RankIndex(rank?), address?))
+    }
+
+    fn check_interval(&mut self, text: Option<&String>) -> Option<Duration> {
+        let Some(text) = text else {
+            return Some(limits::REPORT_INTERVAL);
+        };
+        let millis: u64 = self.parse("--report-ms", text)?;
+        if millis == 0 {
+            self.add("--report-ms", "it is not above 0");
+            return None;
+        }
+        Some(Duration::from_millis(millis))
+    }
+
+    fn check_policy(&mut self, text: Option<&str>) -> Option<Kind> {
+        let Some(text) = text else {
+            return Some(Kind::default());
+        };
+        let kinds = [Kind::Priced, Kind::Replan, Kind::Static];
+        let kind = kinds.into_iter().find(|kind| kind.as_str() == text);
+        if kind.is_none() {
+            self.add(
+                "--policy",
+                format_args!("\"{text}\" is not priced, replan or static"),
+            );
+        }
+        kind
+    }
+
     fn finish<T>(self, value: Option<T>) -> Result<T, Vec<Finding>> {
         match value {
             Some(value) if self.0.is_empty() => Ok(value),
@@ -352,11 +505,13 @@
             check.add("--backend", "the URL has no host");
         }
         let service = check.read("--service", self.service.as_ref());
-        let agent = match (common, backend, service) {
-            (Some(common), Some(backend), Some(service)) => Some(Agent {
+        let group = check.check_group(self);
+        let agent = match (common, backend, service, group) {
+            (Some(common), Some(backend), Some(service), Some(group)) => Some(Agent {
                 common,
                 backend,
                 service,
+                group,
             }),
             _ => None,
         };
