--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod call;
 pub mod client;
 pub mod engine;
+pub mod group;
 pub mod keys;
 pub mod load;
 pub mod plain;
 pub mod platform;
 pub mod runs;
 pub mod server;
+pub mod switches;
 pub mod tally;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -6,12 +6,14 @@
 
 use siskinbend_standins::call;
 use siskinbend_standins::engine;
+use siskinbend_standins::group;
 use siskinbend_standins::keys;
 use siskinbend_standins::load;
 use siskinbend_standins::plain;
 use siskinbend_standins::platform;
 use siskinbend_standins::runs;
 use siskinbend_standins::server;
+use siskinbend_standins::switches;
 
 /// Runs one stand-in of the platform or of a backend server, or a test caller
 #[derive(Debug, Clone, Bpaf)]
@@ -20,6 +22,9 @@
     /// Model engine with continuous batching
     #[bpaf(command)]
     Engine(#[bpaf(external(engine::options))] engine::Options),
+    /// Ranks that step together on an expert map
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::options))] group::Options),
     /// Plain service that counts executions
     #[bpaf(command)]
     Plain(#[bpaf(external(plain::options))] plain::Options),
@@ -38,6 +43,9 @@
     /// Checks that no reference ran twice
     #[bpaf(command)]
     Runs(#[bpaf(external(runs::options))] runs::Options),
+    /// Waits for map switches of a group and checks that no step used two maps
+    #[bpaf(command)]
+    Switches(#[bpaf(external(switches::options))] switches::Options),
     /// Prints ports of 127.0.0.1 that are free for TCP and UDP
     #[bpaf(command)]
     Ports {
@@ -60,12 +68,17 @@
         Command::Engine(options) => {
             server::run(options.listen, engine::build_router(&options)).await
         }
+        Command::Group(options) => match group::build_router(&options) {
+            Ok(router) => server::run(options.listen, router).await,
+            Err(error) => Err(error.into()),
+        },
         Command::Plain(options) => server::run(options.listen, plain::build_router(&options)).await,
         Command::Platform(options) => server::run(options.listen, platform::build_router()).await,
         Command::Keys(options) => keys::write(&options).map(|()| true),
         Command::Call(options) => call::run(&options).await,
         Command::Load(options) => load::run(&options).await,
         Command::Runs(options) => runs::run(&options).await,
+        Command::Switches(options) => switches::run(&options).await,
         Command::Ports { count } => server::print_ports(count),
     };
     match done {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -102,9 +102,11 @@
         incarnation:% = hello.status.incarnation;
         "agent_connected"
     );
-    entry
-        .fleet
-        .add(connection, &hello, opened, entry.clock.now());
+    if hello.serving {
+        entry
+            .fleet
+            .add(connection, &hello, opened, entry.clock.now());
+    }
     entry.spread.add_peer(connection);
     observe(entry, connection, &hello, &hello.status);
     loop {
