Keep entries apart from agents of other ranks

Cause: agents of a group connect to each other, and an agent counted these connections as entries, so each entry took too small a part of the rate limits; entries counted agents that take no requests as replicas when they chose their subset.

Change: an agent counts connections that dispatch or probe; an entry keeps no connection to an agent that takes no requests.

Ruled out: a flag in the certificate, because keys are the operators'.

Before and after: found by reading; no test yet.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,10 +6,15 @@
 mod group;
 mod peer;
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use displaydoc::Display;
+use quinn::Connection;
 use quinn::Endpoint;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -67,6 +72,8 @@
     pub(crate) backend: Backend,
     pub(crate) active: Arc<Active>,
     pub(crate) spread: Arc<Spread>,
+    /// Connections of entries, by their stable id.
+    entries: Mutex<HashSet<usize>>,
     /// The agent's part of a group of ranks, if its backend server is one of them.
     pub(crate) group: Option<Arc<group::Port>>,
     /// Wakes the tasks that push reports to the entries.
@@ -97,17 +104,36 @@
             backend: Backend::new(settings.backend.clone()),
             active,
             spread,
+            entries: Mutex::default(),
             group: settings.group.as_ref().map(|_| Arc::default()),
             changed: watch::Sender::new(()),
             settings,
         })
     }
 
+    fn lock_entries(&self) -> MutexGuard<'_, HashSet<usize>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a connection is an entry's: only entries dispatch and probe.
+    pub(crate) fn note_entry(&self, connection: &Connection) {
+        self.lock_entries().insert(connection.stable_id());
+    }
+
+    /// Forgets a lost connection.
+    pub(crate) fn forget_entry(&self, connection: &Connection) {
+        self.lock_entries().remove(&connection.stable_id());
+    }
+
+    fn count_entries(&self) -> u16 {
+        u16::try_from(self.lock_entries().len()).unwrap_or(u16::MAX)
+    }
+
     /// The state that rides on answers.
     pub(crate) fn status(&self) -> Status {
         let now = self.clock.now();
         Status {
-            entries: u16::try_from(self.spread.count_peers()).unwrap_or(u16::MAX),
+            entries: self.count_entries(),
             newest: self.active.newest(),
             ..self.core.status(self.incarnation, now)
         }
--- a/src/agent/peer.rs
+++ b/src/agent/peer.rs
@@ -50,6 +50,7 @@
         tasks.spawn(serve_stream(Arc::clone(&agent), connection, send, receive));
     }
     agent.spread.remove_peer(&connection);
+    agent.forget_entry(&connection);
 }
 
 /// Introduces the agent and pushes its status whenever it changes in a way that can't wait.
@@ -83,6 +84,7 @@
     let now = agent.clock.now();
     let answer = match first {
         Message::Dispatch(dispatch) => {
+            agent.note_entry(&connection);
             attempt::serve(&agent, id, dispatch, sender, receiver).await;
             return;
         }
@@ -92,7 +94,10 @@
         Message::Lookup(attempt, owner) if attempt.id == id => {
             Message::Found(agent.core.lookup(&attempt, &owner, now))
         }
-        Message::Probe => Message::Report(agent.status()),
+        Message::Probe => {
+            agent.note_entry(&connection);
+            Message::Report(agent.status())
+        }
         Message::Beacon(newest) => {
             let from = connection.remote_address();
             agent.spread.answer_beacon(from, newest)
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -18,6 +18,8 @@
     agent: AgentId,
     zone: Zone,
     service: ServiceName,
+    /// Takes requests; the agents of a group other than that of rank 0 don't.
+    serving: bool,
 }
 
 /// Agents by address, connected or not.
@@ -43,6 +45,7 @@
             agent: hello.agent.clone(),
             zone: hello.zone.clone(),
             service: hello.service.clone(),
+            serving: hello.serving,
         };
         let old = self.agents.insert(address, known);
         old.is_none_or(|old| old.service != hello.service || old.agent != hello.agent)
@@ -67,10 +70,13 @@
         let Some(known) = self.agents.get(&address) else {
             return true;
         };
+        if !known.serving {
+            return false;
+        }
         let peers = self
             .agents
             .values()
-            .filter(|other| other.service == known.service);
+            .filter(|other| other.serving && other.service == known.service);
         let members: Vec<Member> = peers
             .map(|other| Member {
                 agent: other.agent.clone(),
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -102,11 +102,9 @@
         incarnation:% = hello.status.incarnation;
         "agent_connected"
     );
-    if hello.serving {
-        entry
-            .fleet
-            .add(connection, &hello, opened, entry.clock.now());
-    }
+    entry
+        .fleet
+        .add(connection, &hello, opened, entry.clock.now());
     entry.spread.add_peer(connection);
     observe(entry, connection, &hello, &hello.status);
     loop {
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -115,11 +115,6 @@
         }
     }
 
-    /// Number of connected peers.
-    pub fn count_peers(&self) -> usize {
-        lock(&self.peers).len()
-    }
-
     /// Tells how many processes poll the table, so that all together stay under its limits.
     pub fn set_nodes(&self, nodes: usize) {
         self.nodes.store(nodes, Ordering::Relaxed);
