Measure and test the expert map switch

Cause: the state machines of the switch had not been driven by anything.

Change: the experiment `switch` with a lock-step engine group and one seeded queue; tests of the named failures, of the coordinator's death and pause at every point, of fencing, and a random run with a fixed seed. Found on the way and changed: a repeated query of a candidate no longer delays other candidates, because it may never reach all ranks; a lost load command or its answer is repeated instead of aborting; the load of an abandoned map is ended before the next starts, but weights in force are never freed.

Ruled out: turning the first candidate with each term.

A rank whose agent is dead or paused after its promise holds the group.

--- a/crates/groups/src/coordinator.rs
+++ b/crates/groups/src/coordinator.rs
@@ -116,15 +116,25 @@
         })
     }
 
-    /// Notes a message from a coordinator or candidate.
-    pub fn observe(&mut self, from: RankIndex, ballot: Ballot, now: Time, out: &mut Vec<Action>) {
+    /// Notes a message from a coordinator, or the query of a candidate.
+    pub fn observe(
+        &mut self,
+        from: RankIndex,
+        ballot: Ballot,
+        query: bool,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
         if ballot < self.highest || from == self.me {
             return;
         }
+        // A candidate that repeats its query may never get all answers, so only its first one
+        // delays the others.
+        if !query || ballot > self.highest {
+            self.heard = now;
+        }
         self.highest = ballot;
-        self.heard = now;
-        let own = self.ballot();
-        if own.is_some_and(|own| own < ballot) {
+        if self.ballot().is_some_and(|own| own < ballot) {
             self.step_down(out);
         }
     }
@@ -174,7 +184,7 @@
             }
             Body::Loaded { id } => self.on_loaded(from, id, now, out),
             Body::NotLoaded { id, .. } if self.current(id) => {
-                self.abort(AbortReason::LoadFailed, now, out);
+                self.abort(AbortReason::LoadFailed, Some(from), now, out);
             }
             Body::Promise { id } => self.on_promise(from, id, now, out),
             Body::Refuse { id, reason } if self.current(id) => {
@@ -184,7 +194,7 @@
                 } else {
                     AbortReason::Refused
                 };
-                self.abort(reason, now, out);
+                self.abort(reason, Some(from), now, out);
             }
             Body::Decided { upto } => self.on_decided(from, upto, now, out),
             Body::Ask { id } => self.on_ask(from, id, out),
@@ -211,9 +221,11 @@
             Role::Candidate(candidate) => {
                 if candidate.poll.backoff.expire(now) {
                     candidate.poll.repeats += 1;
-                    // Ranks that answered are told too, so that they don't take over themselves.
                     let ballot = candidate.ballot;
-                    self.broadcast(&Body::Query { ballot }, out);
+                    let ranks: Vec<RankIndex> = candidate.poll.ranks().collect();
+                    for to in ranks {
+                        self.send(to, Body::Query { ballot }, out);
+                    }
                 }
             }
             Role::Leader(_) => self.lead_on(now, out),
@@ -258,8 +270,8 @@
         if let Role::Leader(leader) = std::mem::replace(&mut self.role, Role::Follower)
             && let Some(map) = leader.unsettled()
         {
-            let reason = AbortReason::Deposed;
-            out.push(Action::Report(Outcome::Aborted { map, reason }));
+            let (reason, rank) = (AbortReason::Deposed, None);
+            out.push(Action::Report(Outcome::Aborted { map, reason, rank }));
         }
     }
 
@@ -328,7 +340,7 @@
 
     /// Starts a round for a job.
     fn prepare(&mut self, job: Job, now: Time, out: &mut Vec<Action>) {
-        let poll = Poll::start(&self.options, &self.estimate, now);
+        let poll = Poll::start_slow(&self.options, now);
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -401,7 +413,13 @@
 
     /// Decides against the round under way. Needs nobody's answer: no commit of this round
     /// has been sent, and only this coordinator decides its rounds.
-    fn abort(&mut self, reason: AbortReason, now: Time, out: &mut Vec<Action>) {
+    fn abort(
+        &mut self,
+        reason: AbortReason,
+        rank: Option<RankIndex>,
+        now: Time,
+        out: &mut Vec<Action>,
+    ) {
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -419,7 +437,7 @@
             again = Some(job);
         } else {
             let map = job.map;
-            out.push(Action::Report(Outcome::Aborted { map, reason }));
+            out.push(Action::Report(Outcome::Aborted { map, reason, rank }));
         }
         leader.keep = again.is_some();
         leader.upto = leader.id;
@@ -479,6 +497,7 @@
             Phase::Proposing(..) if late => Some(AbortReason::Unanswered),
             _ => None,
         };
+        let silent = leader.poll.ranks().next();
         let ballot = leader.id.ballot;
         let beacon = now >= leader.beacon_due;
         if beacon {
@@ -499,7 +518,7 @@
             self.broadcast(&Body::Beacon { ballot }, out);
         }
         if let Some(reason) = reason {
-            self.abort(reason, now, out);
+            self.abort(reason, silent, now, out);
         }
     }
 
--- a/crates/groups/src/leader.rs
+++ b/crates/groups/src/leader.rs
@@ -46,11 +46,25 @@
     pub(crate) fn start(options: &Options, estimate: &Estimate, now: Time) -> Self {
         let interval = (estimate.bound_trip() * 2).max(options.retry_floor);
         let interval = interval.min(options.retry_cap);
+        Self::with_backoff(
+            options,
+            Backoff::start(interval, options.retry_cap, now),
+            now,
+        )
+    }
+
+    /// Repeats rarely: loads take seconds and the message carries the plan.
+    pub(crate) fn start_slow(options: &Options, now: Time) -> Self {
+        let backoff = Backoff::start(options.retry_cap, options.load_timeout, now);
+        Self::with_backoff(options, backoff, now)
+    }
+
+    fn with_backoff(options: &Options, backoff: Backoff, now: Time) -> Self {
         Self {
             waiting: vec![true; usize::from(options.ranks)],
             left: usize::from(options.ranks),
             since: now,
-            backoff: Backoff::start(interval, options.retry_cap, now),
+            backoff,
             repeats: 0,
         }
     }
--- a/crates/groups/src/member.rs
+++ b/crates/groups/src/member.rs
@@ -40,7 +40,8 @@
     /// Send a message to another agent of the group; it may be lost.
     Send(Envelope),
     /// Load the weights of a map beside the map in force, after the agent's fence admitted the
-    /// number. They replace other weights loaded beside the map in force.
+    /// number. They replace other weights loaded beside the map in force. The action repeats
+    /// until the load ends; the engine ignores a repeated command.
     LoadWeights {
         /// The map.
         map: MapRef,
@@ -49,7 +50,7 @@
         /// The map's content.
         plan: Vec<u8>,
     },
-    /// Free the weights of a map that won't come into force.
+    /// Free the weights of a map that won't come into force, and end their load.
     DiscardWeights(MapRef),
     /// Write the record of the engine's rank: it closes the step gate (a promise), opens it (no
     /// promise) and schedules a map at a step (the committed switch). The engine's answer comes
@@ -179,7 +180,8 @@
         };
         match ballot {
             Some(ballot) => {
-                self.coordinator.observe(from, ballot, now, out);
+                let query = matches!(body, Body::Query { .. });
+                self.coordinator.observe(from, ballot, query, now, out);
                 self.rank.on_message(from, body, now, out);
             }
             None => self.coordinator.on_message(from, &body, now, out),
--- a/crates/groups/src/message.rs
+++ b/crates/groups/src/message.rs
@@ -288,6 +288,8 @@
         map: MapRef,
         /// Why.
         reason: AbortReason,
+        /// The first rank that stood in the way, if it was a rank.
+        rank: Option<RankIndex>,
     },
 }
 
--- a/crates/groups/src/rank.rs
+++ b/crates/groups/src/rank.rs
@@ -169,6 +169,10 @@
             state.record.promise
         );
         self.state = state;
+        if let Some(staged) = state.staged {
+            // The engine's answer to the load command may be lost.
+            self.on_weights(staged, None, out);
+        }
         self.settle(now, out);
         if self.joined && self.state.record.agent != self.incarnation {
             self.superseded = true;
@@ -267,14 +271,19 @@
             return;
         }
         if let Some(load) = self.load.as_mut().filter(|l| l.map == map) {
-            let again = matches!(load.phase, LoadPhase::Failed(_)) && load.id != id;
+            let failed = matches!(load.phase, LoadPhase::Failed(_)) && load.id == id;
             load.id = id;
             load.coordinator = from;
-            if !again {
+            if failed || matches!(load.phase, LoadPhase::Loaded) {
                 self.answer_load(out);
                 return;
             }
         }
+        let in_force = self.state.record.committed.map;
+        let needless = |old: &Load| old.map != map && old.map != in_force;
+        if let Some(old) = self.load.take().filter(needless) {
+            out.push(Action::DiscardWeights(old.map));
+        }
         self.load = Some(Load {
             id,
             map,
--- /dev/null
+++ b/tests/integration/switch.rs
@@ -0,0 +1,506 @@
+//! Map switches; guards against two ranks that use different maps in one step, and against a
+//! group that stays held.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use siskinbend_groups::AbortReason;
+use siskinbend_groups::BeginError;
+use siskinbend_groups::Body;
+use siskinbend_groups::Envelope;
+use siskinbend_groups::Event;
+use siskinbend_groups::Outcome;
+use siskinbend_groups::RankIndex;
+use siskinbend_groups::RefuseReason;
+use siskinbend_groups::Step;
+use siskinbend_measure::switch::faults::Faults;
+use siskinbend_measure::switch::world::Ambush;
+use siskinbend_measure::switch::world::Blow;
+use siskinbend_measure::switch::world::Setup;
+use siskinbend_measure::switch::world::World;
+use siskinbend_types::Ballot;
+use siskinbend_types::Fencing;
+use siskinbend_types::Incarnation;
+
+use self::bench::Bench;
+use self::bench::is_decide;
+use self::bench::is_promise;
+use self::bench::is_propose;
+use self::bench::map;
+
+mod bench;
+
+/// A group whose coordinator has just decided to commit map 2; the decision is in `bench.mail`.
+/// If `recorded` is false, it doesn't reach the record of the coordinator's own rank either.
+fn decide_unheard(recorded: bool) -> Bench {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_promise);
+    if !recorded {
+        bench.deaf = vec![0];
+    }
+    bench.pump_unless(is_decide);
+    assert_eq!(bench.mail.len(), 2, "the commit to ranks 1 and 2");
+    bench
+}
+
+#[test]
+fn switch_takes_effect_without_a_pause() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump();
+    let step = bench.engines.ranks[0].state.record.committed.step;
+    assert!(step > Step(30), "1 s of steps lie ahead, {step}");
+    assert_eq!(bench.step_until_held(2 * step.0), 2 * step.0);
+    bench.settle(2);
+    assert_eq!(bench.tally.held_steps, 0);
+}
+
+#[test]
+fn delayed_commit_after_an_aborting_takeover_is_ignored() {
+    // Obeying it would put one rank on the new map while the others keep the old one.
+    let mut bench = decide_unheard(false);
+    let late = bench.take(is_decide);
+    bench.kill(0);
+    bench.restart(0);
+    bench.deaf.clear();
+    bench.restart(0);
+    bench.run_unless(3_000, |_| false);
+    assert_eq!(bench.committed(), [1, 1, 1]);
+    assert_eq!(bench.gates(), [None; 3], "the takeover opened the gates");
+    bench.deliver(late);
+    assert_eq!(bench.committed(), [1, 1, 1]);
+    bench.settle(1);
+}
+
+#[test]
+fn known_commit_is_adopted_by_a_takeover() {
+    // The coordinator's own rank runs on the new map from its step on; aborting would mix maps.
+    let mut bench = decide_unheard(true);
+    bench.take(is_decide);
+    bench.kill(0);
+    let gate = bench.gates()[1].expect("promised");
+    bench.step_until_held(1_000);
+    assert_eq!(bench.engines.ended, Step(gate.0 - 1));
+    bench.restart(0);
+    bench.run_unless(3_000, |_| false);
+    assert_eq!(bench.committed(), [2, 2, 2]);
+    bench.settle(2);
+}
+
+#[test]
+fn takeover_waits_for_every_rank() {
+    // The rank that doesn't answer may be the only one that knows the commit.
+    let mut bench = decide_unheard(true);
+    bench.take(is_decide);
+    bench.kill(0);
+    bench.step_until_held(1_000);
+    bench.run_unless(600_000, |_| false);
+    assert_eq!(bench.committed(), [2, 1, 1]);
+    assert!(
+        bench.gates()[1].is_some() && bench.gates()[2].is_some(),
+        "a gate opened on a guess"
+    );
+    bench.restart(0);
+    bench.settle(2);
+}
+
+#[test]
+fn gate_stays_closed_without_a_decision() {
+    // However long the silence lasts, a timeout proves nothing about the decision.
+    let mut bench = decide_unheard(true);
+    bench.mail.clear();
+    bench.step_until_held(1_000);
+    bench.run_unless(600_000, |_| true);
+    assert!(!bench.step());
+    bench.settle(2);
+}
+
+#[test]
+fn lost_promise_is_asked_for_again() {
+    // The gate is closed by then; giving up would hold or abort for one lost message.
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(|e| is_promise(e) && e.from == RankIndex(2));
+    assert_eq!(bench.take(is_promise).len(), 1);
+    assert!(bench.gates()[2].is_some());
+    bench.run_unless(300, |_| false);
+    assert_eq!(bench.committed(), [2, 2, 2]);
+}
+
+#[test]
+fn silent_rank_aborts_before_the_step_is_reached() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    let mut held = false;
+    for _ in 0..60 {
+        held |= !bench.step();
+        // Rank 2's agent is cut off while its engine goes on.
+        let cut = |e: &Envelope| e.to == RankIndex(2) || e.from == RankIndex(2);
+        bench.pump_unless(cut);
+        bench.take(cut);
+    }
+    assert!(!held, "the abort came too late");
+    let aborted = Outcome::Aborted {
+        map: map(2),
+        reason: AbortReason::Unanswered,
+        rank: Some(RankIndex(2)),
+    };
+    assert!(bench.outcomes.contains(&aborted), "{:?}", bench.outcomes);
+    bench.settle(1);
+}
+
+#[test]
+fn two_candidates_end_with_one_leader() {
+    let mut bench = decide_unheard(true);
+    bench.take(is_decide);
+    bench.kill(0);
+    // Neither hears the other's query in time.
+    bench.advance(2_000);
+    let queries = bench.take(|e| matches!(e.body, Body::Query { .. }));
+    let both = [1, 2].map(|r| queries.iter().any(|e| e.from == RankIndex(r)));
+    assert_eq!(both, [true, true]);
+    bench.restart(0);
+    bench.deliver(queries);
+    bench.run_unless(10_000, |_| false);
+    let leaders = bench.members.iter().flatten().filter(|m| m.is_leader());
+    assert_eq!(leaders.count(), 1);
+    bench.settle(2);
+}
+
+#[test]
+fn old_coordinator_steps_down() {
+    // A paused coordinator resumes and believes that it still leads.
+    let mut bench = Bench::start(3);
+    let cut = |e: &Envelope| e.from == RankIndex(0);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_promise);
+    let promises = bench.take(is_promise);
+    for _ in 0..300 {
+        // Its rank answers queries, but what it sends as coordinator is lost.
+        bench.advance(10);
+        bench.pump_unless(|e| cut(e) && !matches!(e.body, Body::State { .. }));
+        bench.take(cut);
+    }
+    assert!(!bench.member(0).is_leader());
+    bench.deliver(promises);
+    bench.settle(1);
+    assert_eq!(bench.begin(0, map(3)), Err(BeginError::NotLeader));
+}
+
+#[test]
+fn coordinator_steps_down_when_a_rank_has_answered_another() {
+    // A candidate that reached only rank 2 is gone; rank 2 obeys nobody with a lower ballot.
+    let mut bench = Bench::start(3);
+    let ballot = Ballot {
+        term: 50,
+        owner: Incarnation(99),
+    };
+    let query = Envelope {
+        life: bench.engines.ranks[2].state.life,
+        from: RankIndex(1),
+        to: RankIndex(2),
+        body: Body::Query { ballot },
+    };
+    bench.deliver(vec![query]);
+    bench.run_unless(3_000, |_| false);
+    assert!(!bench.member(0).is_leader());
+    bench.run_unless(10_000, |_| false);
+    let leaders = bench.members.iter().flatten().filter(|m| m.is_leader());
+    assert_eq!(leaders.count(), 1);
+}
+
+#[test]
+fn second_switch_waits_for_the_first_decision() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_promise);
+    let first = bench.member(2).rank().promise().expect("promised");
+    assert_eq!(bench.begin(0, map(3)), Err(BeginError::Busy));
+    // Rank 0 sends what it never would: another proposal while rank 2 holds its promise.
+    let mut second = first;
+    second.id.round += 1;
+    second.map = map(3);
+    second.step.0 += 50;
+    let mut envelope = bench.mail[0].clone();
+    envelope.from = RankIndex(0);
+    envelope.to = RankIndex(2);
+    envelope.body = Body::Propose { switch: second };
+    bench.mail.clear();
+    bench.deliver(vec![envelope]);
+    let refused = Body::Refuse {
+        id: second.id,
+        reason: RefuseReason::Promised,
+    };
+    assert!(bench.mail.iter().any(|e| e.body == refused));
+    assert_eq!(bench.member(2).rank().promise(), Some(first));
+    // Loading its weights would replace those of the promised map.
+    let mut envelope = bench.mail[0].clone();
+    (envelope.from, envelope.to) = (RankIndex(0), RankIndex(2));
+    envelope.body = Body::Prepare {
+        id: second.id,
+        map: second.map,
+        fencing: Fencing(1),
+        plan: Vec::new(),
+    };
+    bench.deliver(vec![envelope]);
+    let loaded = Body::Loaded { id: second.id };
+    assert!(bench.mail.iter().all(|e| e.body != loaded));
+    let silent = |e: &Envelope| is_decide(e) || (is_promise(e) && e.from == RankIndex(1));
+    bench.run_unless(700, silent);
+    assert_eq!(bench.member(2).rank().promise(), Some(first));
+    assert_eq!(
+        bench.begin(0, map(3)),
+        Err(BeginError::Busy),
+        "not all ranks know the abort"
+    );
+}
+
+#[test]
+fn restarted_rank_rejoins_with_the_map_in_force() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.settle(2);
+    for rank in [2, 1] {
+        bench.restart(rank);
+        bench.pump();
+        assert!(bench.step());
+    }
+    bench.begin(0, map(3)).expect("ready");
+    bench.settle(3);
+    assert_eq!(bench.tally.held_steps, 0);
+}
+
+#[test]
+fn restart_of_a_promised_rank_keeps_its_gate() {
+    let mut bench = decide_unheard(true);
+    bench.mail.clear();
+    bench.restart(2);
+    bench.step_until_held(1_000);
+    assert!(bench.gates()[2].is_some(), "the promise was forgotten");
+    bench.settle(2);
+}
+
+#[test]
+fn step_that_came_too_near_is_proposed_again() {
+    // The coordinator hears late of the steps, so that ranks have passed the step it chooses.
+    let mut bench = Bench::start(3);
+    bench.quiet = vec![0];
+    for _ in 0..300 {
+        assert!(bench.step());
+        bench.pump();
+    }
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    let steps: Vec<Step> = bench.mail.iter().filter_map(proposed_step).collect();
+    assert!(
+        steps[0] < bench.engines.ended,
+        "the first proposal is too near, {steps:?}"
+    );
+    bench.quiet.clear();
+    bench.settle(2);
+    assert_eq!(bench.tally.held_steps, 0);
+}
+
+fn proposed_step(envelope: &Envelope) -> Option<Step> {
+    match &envelope.body {
+        Body::Propose { switch } => Some(switch.step),
+        _ => None,
+    }
+}
+
+#[test]
+fn late_proposal_closes_no_gate_after_its_abort() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    let late = bench.take(is_propose);
+    bench.run_unless(3_000, is_propose);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    bench.deliver(late);
+    assert_eq!(bench.gates()[1..], [None; 2]);
+    bench.settle(2);
+}
+
+#[test]
+fn late_write_of_an_earlier_run_is_refused() {
+    // It would close a gate that the new run doesn't know of, or undo a commit.
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    bench.deaf = vec![2];
+    bench.pump_unless(|_| false);
+    let (rank, write) = bench.lost_writes.pop().expect("rank 2 wrote its promise");
+    bench.deaf.clear();
+    bench.restart(2);
+    bench.engines.write(rank, &write);
+    assert_eq!(bench.gates()[2], None);
+    bench.settle(2);
+}
+
+#[test]
+fn replaced_run_of_an_agent_stops_acting() {
+    let mut bench = Bench::start(3);
+    let old = bench.members[2].take();
+    bench.restart(2);
+    let new = std::mem::replace(&mut bench.members[2], old);
+    let report = bench.engines.view(2);
+    bench.feed(2, Event::Engine(report));
+    assert!(bench.member(2).rank().is_superseded());
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump();
+    assert_eq!(
+        bench.gates(),
+        [None; 3],
+        "it answered in the name of its successor"
+    );
+    bench.members[2] = new;
+    bench.settle(2);
+}
+
+#[test]
+fn crossed_messages_and_earlier_lives_are_dropped() {
+    let mut bench = Bench::start(3);
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump_unless(is_propose);
+    let proposals = bench.take(|e| is_propose(e) && e.to == RankIndex(1));
+    let mut old = proposals[0].clone();
+    old.life = Incarnation(99);
+    bench.feed(1, Event::Message(old));
+    bench.feed(2, Event::Message(proposals[0].clone()));
+    assert_eq!(bench.gates()[1..], [None; 2]);
+}
+
+#[test]
+fn failed_load_aborts_the_switch_and_not_the_group() {
+    let mut bench = Bench::start(3);
+    bench.loads_fail = true;
+    bench.begin(0, map(2)).expect("ready");
+    bench.pump();
+    let failed = |o: &Outcome| matches!(o, Outcome::Aborted { reason, .. } if *reason == AbortReason::LoadFailed);
+    assert!(bench.outcomes.iter().any(failed));
+    assert_eq!(bench.step_until_held(100), 100);
+    bench.loads_fail = false;
+    bench.begin(0, map(2)).expect("ready again");
+    bench.settle(2);
+}
+
+fn run(setup: Setup) -> siskinbend_measure::switch::tally::Tally {
+    World::start(setup)
+        .run()
+        .expect("the group never stops for good")
+}
+
+/// Strikes the coordinator after each of its actions in turn, until a switch is over.
+fn strike_everywhere(blow: Blow) {
+    let mut struck = 0;
+    for actions in 0..1_000 {
+        let mut world = World::start(Setup {
+            seed: actions,
+            ranks: 4,
+            steps: 600,
+            ambush: Some(Ambush { actions, blow }),
+            ..Setup::default()
+        });
+        let tally = world.run().expect("the group never stops for good");
+        assert_eq!(tally.mixed_steps, 0, "struck after {actions} actions");
+        assert!(
+            tally.switches > 1,
+            "no switch after the strike at {actions}"
+        );
+        if !world.was_ambushed() {
+            break;
+        }
+        struck += 1;
+    }
+    assert!(struck > 50, "only {struck} points were reached");
+}
+
+#[test]
+fn coordinator_may_die_at_every_point() {
+    strike_everywhere(Blow::Kill(Duration::from_secs(1)));
+}
+
+#[test]
+fn coordinator_may_be_paused_at_every_point() {
+    // Long enough for a takeover by the others before it resumes in the middle of its sends.
+    strike_everywhere(Blow::Pause(Duration::from_secs(9)));
+}
+
+#[test]
+fn no_fault_means_no_pause() {
+    for seed in 0..4 {
+        let steps = 1_000;
+        let tally = run(Setup {
+            seed,
+            steps,
+            ..Setup::default()
+        });
+        assert!(tally.switches >= 8);
+        let rest = (tally.mixed_steps, tally.aborted, tally.held_steps);
+        assert_eq!(rest, (0, 0, 0));
+    }
+}
+
+#[test]
+fn same_seed_gives_the_same_run() {
+    let setup = Setup {
+        seed: 7,
+        ranks: 8,
+        steps: 500,
+        faults: Faults::all(),
+        ..Setup::default()
+    };
+    assert_eq!(run(setup.clone()), run(setup));
+}
+
+fn faulty(seed: u64, open_gates: bool) -> Setup {
+    Setup {
+        seed,
+        ranks: 5,
+        steps: 1_500,
+        period: Duration::from_millis(700),
+        faults: Faults::all(),
+        open_gates,
+        ..Setup::default()
+    }
+}
+
+#[test]
+fn steps_are_mixed_without_the_promise() {
+    // The engine ignores its closed gate, so a rank that misses the commit runs on with the old
+    // map. The same seeds with the gate have no such step.
+    let (mut mixed, mut honest) = (0, 0);
+    for seed in 0..40 {
+        mixed += run(faulty(seed, true)).mixed_steps;
+        honest += run(faulty(seed, false)).mixed_steps;
+    }
+    assert!(mixed > 0, "the check for mixed steps finds nothing");
+    assert_eq!(honest, 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn random_faults_mix_no_step(seed: u64, ranks in 1u16..12, loss in 0.0f64..0.4, pause in 1u64..20) {
+        let tally = World::start(Setup {
+            ranks,
+            faults: Faults {
+                loss,
+                disturbance_interval: Duration::from_secs(pause),
+                ..Faults::all()
+            },
+            ..faulty(seed, false)
+        }).run();
+        prop_assert!(tally.is_ok(), "{tally:?}");
+        prop_assert_eq!(tally.map(|t| t.mixed_steps), Ok(0));
+    }
+}
--- /dev/null
+++ b/tests/integration/switch/bench.rs
@@ -0,0 +1,257 @@
+//! A group whose messages, engine writes and agents a test controls one by one.
+
+use std::time::Duration;
+
+use siskinbend_groups::Action;
+use siskinbend_groups::BeginError;
+use siskinbend_groups::Body;
+use siskinbend_groups::Envelope;
+use siskinbend_groups::Event;
+use siskinbend_groups::MapRef;
+use siskinbend_groups::Member;
+use siskinbend_groups::Options;
+use siskinbend_groups::Outcome;
+use siskinbend_groups::RankIndex;
+use siskinbend_groups::Step;
+use siskinbend_groups::Write;
+use siskinbend_measure::switch::engines::Engines;
+use siskinbend_measure::switch::tally::Tally;
+use siskinbend_types::Digest;
+use siskinbend_types::Fencing;
+use siskinbend_types::Incarnation;
+use siskinbend_types::Time;
+use siskinbend_types::Version;
+
+pub struct Bench {
+    pub now: Time,
+    pub engines: Engines,
+    pub tally: Tally,
+    pub members: Vec<Option<Member>>,
+    pub mail: Vec<Envelope>,
+    pub outcomes: Vec<Outcome>,
+    /// Ranks whose engine gets no writes; they are kept in `lost_writes`.
+    pub deaf: Vec<usize>,
+    pub lost_writes: Vec<(usize, Write)>,
+    pub loads_fail: bool,
+    /// Ranks whose engine reports no steps.
+    pub quiet: Vec<usize>,
+    timers: Vec<Option<Time>>,
+    runs: u64,
+}
+
+pub fn map(version: u64) -> MapRef {
+    MapRef {
+        version: Version(version),
+        digest: Digest([version as u8; 32]),
+    }
+}
+
+impl Bench {
+    /// Starts a group that rank 0 leads.
+    pub fn start(ranks: u16) -> Self {
+        let mut bench = Self {
+            now: Time::from_millis(1_000),
+            engines: Engines::start(ranks, false),
+            tally: Tally::default(),
+            members: (0..ranks).map(|_| None).collect(),
+            mail: Vec::new(),
+            outcomes: Vec::new(),
+            deaf: Vec::new(),
+            lost_writes: Vec::new(),
+            loads_fail: false,
+            quiet: Vec::new(),
+            timers: vec![None; usize::from(ranks)],
+            runs: 0,
+        };
+        for rank in 0..usize::from(ranks) {
+            bench.restart(rank);
+        }
+        bench.run_unless(100, |_| false);
+        assert!(bench.member(0).is_leader(), "rank 0 leads at first");
+        assert_eq!(bench.step_until_held(5), 5);
+        bench.pump();
+        bench.tally = Tally::default();
+        bench
+    }
+
+    pub fn member(&self, rank: usize) -> &Member {
+        self.members[rank].as_ref().expect("the agent runs")
+    }
+
+    pub fn kill(&mut self, rank: usize) {
+        self.members[rank] = None;
+        self.timers[rank] = None;
+    }
+
+    pub fn restart(&mut self, rank: usize) {
+        self.runs += 1;
+        let incarnation = Incarnation(self.runs);
+        let ranks = u16::try_from(self.members.len()).expect("few ranks");
+        let options = Options {
+            ranks,
+            ..Options::default()
+        };
+        let state = self.engines.view(rank);
+        let mut actions = Vec::new();
+        let me = RankIndex(rank as u16);
+        let member = Member::start(me, incarnation, options, state, self.now, &mut actions);
+        self.members[rank] = Some(member);
+        self.perform(rank, actions);
+    }
+
+    pub fn feed(&mut self, rank: usize, event: Event) {
+        let mut actions = Vec::new();
+        if let Some(member) = &mut self.members[rank] {
+            member.handle(event, self.now, &mut actions);
+        }
+        self.perform(rank, actions);
+    }
+
+    pub fn begin(&mut self, rank: usize, map: MapRef) -> Result<(), BeginError> {
+        let mut actions = Vec::new();
+        let member = self.members[rank].as_mut().expect("the agent runs");
+        let result = member.begin(map, Vec::new(), Fencing(1), self.now, &mut actions);
+        self.perform(rank, actions);
+        result
+    }
+
+    fn perform(&mut self, rank: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(envelope) => self.mail.push(envelope),
+                Action::LoadWeights { map, .. } if !self.loads_fail => {
+                    self.engines.begin_load(rank, map, 0);
+                    self.engines.end_load(rank, map, 0, true);
+                    self.feed(rank, Event::WeightsLoaded(map));
+                }
+                Action::LoadWeights { map, .. } => {
+                    let fault = siskinbend_groups::LoadFault::Failed;
+                    self.feed(rank, Event::WeightsFailed(map, fault));
+                }
+                Action::DiscardWeights(map) => self.engines.discard(rank, map),
+                Action::WriteRecord(write) if self.deaf.contains(&rank) => {
+                    self.lost_writes.push((rank, write));
+                }
+                Action::WriteRecord(write) => {
+                    let answer = self.engines.write(rank, &write);
+                    self.feed(rank, Event::Engine(answer));
+                }
+                Action::SetTimer(at) => self.timers[rank] = Some(at),
+                Action::Report(outcome) => self.outcomes.push(outcome),
+            }
+        }
+    }
+
+    /// Removes the messages that match, to lose them or deliver them later.
+    pub fn take(&mut self, matches: impl Fn(&Envelope) -> bool) -> Vec<Envelope> {
+        let (taken, left) = self.mail.drain(..).partition(|e| matches(e));
+        self.mail = left;
+        taken
+    }
+
+    /// Delivers messages.
+    pub fn deliver(&mut self, envelopes: Vec<Envelope>) {
+        for envelope in envelopes {
+            let to = envelope.to.slot();
+            self.feed(to, Event::Message(envelope));
+        }
+    }
+
+    /// Delivers messages until none is left.
+    pub fn pump(&mut self) {
+        self.pump_unless(|_| false);
+    }
+
+    /// Delivers messages until only those that match are left.
+    pub fn pump_unless(&mut self, keep: impl Fn(&Envelope) -> bool) {
+        for _ in 0..100 {
+            let batch = self.take(|e| !keep(e));
+            if batch.is_empty() {
+                return;
+            }
+            self.deliver(batch);
+        }
+        panic!("the agents never stop sending");
+    }
+
+    /// Passes time in small parts and fires the timers that are due; delivers nothing.
+    pub fn advance(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = self.now + Duration::from_millis(10);
+            for rank in 0..self.members.len() {
+                if self.timers[rank].is_some_and(|at| at <= self.now) {
+                    self.timers[rank] = None;
+                    self.feed(rank, Event::Timer);
+                }
+            }
+        }
+    }
+
+    /// Passes time and delivers everything on the way, except what matches.
+    pub fn run_unless(&mut self, millis: u64, lose: impl Fn(&Envelope) -> bool) {
+        for _ in 0..millis / 10 {
+            self.advance(10);
+            self.pump_unless(&lose);
+            self.take(&lose);
+        }
+    }
+
+    /// Starts the next step where the gates allow it; returns true if all ranks started it.
+    pub fn step(&mut self) -> bool {
+        for rank in 0..self.members.len() {
+            if self.engines.try_enter(rank) && !self.quiet.contains(&rank) {
+                let report = Event::Engine(self.engines.view(rank));
+                self.feed(rank, report);
+            }
+        }
+        let entered = self.engines.check_entered(self.now, &mut self.tally);
+        if entered {
+            self.advance(30);
+            self.engines.end_step(self.now);
+        }
+        entered
+    }
+
+    /// Runs steps until a gate holds the group, at most `limit`.
+    pub fn step_until_held(&mut self, limit: u64) -> u64 {
+        (0..limit).take_while(|_| self.step()).count() as u64
+    }
+
+    /// The map version that each rank's record puts in force at a step far ahead.
+    pub fn committed(&self) -> Vec<u64> {
+        let ranks = self.engines.ranks.iter();
+        ranks
+            .map(|r| r.state.record.committed.map.version.0)
+            .collect()
+    }
+
+    pub fn gates(&self) -> Vec<Option<Step>> {
+        let ranks = self.engines.ranks.iter();
+        ranks.map(|r| r.state.record.gate()).collect()
+    }
+
+    /// Runs steps and lets time pass until the committed map is in force at every rank.
+    pub fn settle(&mut self, version: u64) {
+        for _ in 0..2_000 {
+            if !self.step() {
+                self.advance(10);
+            }
+            self.pump();
+        }
+        assert_eq!(self.committed(), vec![version; self.members.len()]);
+        assert!(self.gates().iter().all(Option::is_none));
+        assert_eq!(self.tally.mixed_steps, 0);
+    }
+}
+
+pub fn is_decide(envelope: &Envelope) -> bool {
+    matches!(envelope.body, Body::Decide(_))
+}
+
+pub fn is_promise(envelope: &Envelope) -> bool {
+    matches!(envelope.body, Body::Promise { .. })
+}
+
+pub fn is_propose(envelope: &Envelope) -> bool {
+    matches!(envelope.body, Body::Propose { .. })
+}
