--- a/tests/integration/switch.rs
+++ b/tests/integration/switch.rs
@@ -10,10 +10,12 @@
 use siskinbend_groups::Body;
 use siskinbend_groups::Envelope;
 use siskinbend_groups::Event;
+use siskinbend_groups::Options;
 use siskinbend_groups::Outcome;
 use siskinbend_groups::RankIndex;
 use siskinbend_groups::RefuseReason;
 use siskinbend_groups::Step;
+use siskinbend_groups::timing::Estimate;
 use siskinbend_measure::switch::faults::Faults;
 use siskinbend_measure::switch::world::Ambush;
 use siskinbend_measure::switch::world::Blow;
@@ -22,6 +24,7 @@
 use siskinbend_types::Ballot;
 use siskinbend_types::Fencing;
 use siskinbend_types::Incarnation;
+use siskinbend_types::Time;
 
 use self::bench::Bench;
 use self::bench::is_decide;
@@ -311,6 +314,29 @@
     }
 }
 
+#[test]
+fn margin_follows_step_time_and_round_trip() {
+    // A fixed distance is too near for short steps, slow networks or late step reports.
+    let options = Options::default();
+    let mut slow = Estimate::default();
+    let mut fast = Estimate::default();
+    for step in 0..100 {
+        slow.note_step(Step(step), Time::from_millis(step * 40));
+        fast.note_step(Step(step), Time::from_millis(step * 10));
+    }
+    let margin = slow.margin(&options);
+    let ahead =
+        |estimate: &Estimate, end| estimate.step_after(margin, Time::from_millis(end)).0 - 99;
+    assert_eq!(ahead(&slow, 99 * 40), 26);
+    assert_eq!(ahead(&fast, 99 * 10), 101);
+    for _ in 0..20 {
+        slow.note_trip(Duration::from_secs(1));
+    }
+    assert!(slow.margin(&options) >= Duration::from_secs(4));
+    fast.note_passed();
+    assert_eq!(fast.margin(&options), options.margin_floor * 2);
+}
+
 #[test]
 fn late_proposal_closes_no_gate_after_its_abort() {
     let mut bench = Bench::start(3);
