Measure the spread of document versions and test the tracker

Cause: the target of 9 s at 1,160 processes with 5 % message loss needs a run that shows it, and the version tracker had no tests.

Trackers tell when their next tick is due, so that a process can sleep.

Ruled out: a first poll at the start of each process, because a fleet that restarts would read the table at once; a failed promotion repeated blindly by the simulated operator, because it would accept the same text twice.

--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -20,6 +20,9 @@
 /// Peers that hear of a version at once from each process that puts it in force.
 pub const PUSH_PEERS: usize = 4;
 
+/// Time for which the operator's command announces an accepted version and serves its content.
+pub const ANNOUNCE_SPAN: Duration = Duration::from_secs(3);
+
 /// Time after which a fetch counts as failed.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause before the first further fetch, at most; it doubles with every failure.
--- a/crates/control/src/version.rs
+++ b/crates/control/src/version.rs
@@ -72,7 +72,7 @@
 /// Something that a process hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// Time passed; due every 50 ms or so.
+    /// Time passed; see [`Tracker::due`].
     Tick,
     /// A message of a peer carried what it has in force.
     Heard(SocketAddr, Option<Stamp>),
@@ -187,6 +187,16 @@
         self.counts
     }
 
+    /// Time of the next tick that has something to do.
+    pub fn due(&self) -> Time {
+        let fetch = self.wanted.as_ref().map(|wanted| match wanted.fetching {
+            Some(since) => since + FETCH_TIMEOUT,
+            None => wanted.retry,
+        });
+        let timer = self.poll.min(self.beacon);
+        fetch.map_or(timer, |fetch| fetch.min(timer))
+    }
+
     /// Puts content in force that this process itself had accepted, as the operator's command
     /// does: it announces the version to peers and serves fetches before it ends, so that an
     /// outage right after the acceptance doesn't hide the version.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,3 +8,4 @@
 mod promotion;
 mod store;
 mod type_parsing;
+mod versions;
--- /dev/null
+++ b/tests/integration/versions.rs
@@ -0,0 +1,317 @@
+//! Versions of the document in the fleet; guards against a process that goes back, serves a text
+//! that was never accepted, or stays behind.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use siskinbend_control::limits::FETCHES_SERVED;
+use siskinbend_control::version::Action;
+use siskinbend_control::version::Content;
+use siskinbend_control::version::Context;
+use siskinbend_control::version::Event;
+use siskinbend_control::version::FetchError;
+use siskinbend_control::version::FetchGate;
+use siskinbend_control::version::Fleet;
+use siskinbend_control::version::Source;
+use siskinbend_control::version::Stamp;
+use siskinbend_control::version::Tracker;
+use siskinbend_control::version::poll_interval;
+use siskinbend_document::Document;
+use siskinbend_measure::documents;
+use siskinbend_types::Time;
+use siskinbend_types::Version;
+
+/// A tracker with its clock and randomness.
+struct Process {
+    tracker: Tracker,
+    now: Time,
+    rng: ChaCha8Rng,
+    peers: Vec<SocketAddr>,
+}
+
+fn peer(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn stamp(version: u64, text: &str) -> Stamp {
+    let digest = Document::digest(text);
+    let version = Version(version);
+    Stamp { version, digest }
+}
+
+impl Process {
+    fn start() -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let peers: Vec<_> = (1..20).map(peer).collect();
+        let now = Time(0);
+        let fleet = Fleet {
+            peers: &peers,
+            nodes: 20,
+        };
+        let tracker = Tracker::start(&mut Context {
+            now,
+            fleet,
+            rng: &mut rng,
+        });
+        Self {
+            tracker,
+            now,
+            rng,
+            peers,
+        }
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let fleet = Fleet {
+            peers: &self.peers,
+            nodes: 20,
+        };
+        let mut context = Context {
+            now: self.now,
+            fleet,
+            rng: &mut self.rng,
+        };
+        self.tracker.handle(event, &mut context)
+    }
+
+    fn give(&mut self, version: u64, text: &str) -> Vec<Action> {
+        let stamp = stamp(version, text);
+        self.tell(Event::Heard(peer(1), Some(stamp)));
+        self.tell(Event::Fetched(
+            Source::Peer(peer(1)),
+            stamp,
+            Ok(text.into()),
+        ))
+    }
+
+    fn in_force(&self) -> Option<(u64, Arc<str>)> {
+        let Content { stamp, text } = self.tracker.current()?.clone();
+        Some((stamp.version.0, text))
+    }
+}
+
+#[test]
+fn older_versions_are_never_put_in_force() {
+    let mut process = Process::start();
+    process.give(5, "five");
+    process.give(4, "four");
+    // A restored or stale row of the table is counted, so that an operator sees it.
+    process.tell(Event::Polled(Some(stamp(3, "three"))));
+    assert_eq!(process.in_force(), Some((5, "five".into())));
+    assert_eq!(process.tracker.counts().stale, 1);
+    // The fetch of version 6 ends after version 7 is in force.
+    process.tell(Event::Heard(peer(2), Some(stamp(6, "six"))));
+    process.give(7, "seven");
+    let late = Event::Fetched(Source::Peer(peer(2)), stamp(6, "six"), Ok("six".into()));
+    assert_eq!(process.tell(late), []);
+    assert_eq!(process.in_force(), Some((7, "seven".into())));
+}
+
+#[test]
+fn same_version_with_another_digest_is_refused_and_counted() {
+    let mut process = Process::start();
+    process.give(5, "five");
+    process.give(5, "other");
+    assert_eq!(process.in_force(), Some((5, "five".into())));
+    assert_eq!(process.tracker.counts().split, 1);
+    // Before either is in force, the table decides.
+    process.tell(Event::Heard(peer(1), Some(stamp(6, "wrong"))));
+    process.tell(Event::Polled(Some(stamp(6, "right"))));
+    let wrong = Event::Fetched(Source::Peer(peer(1)), stamp(6, "wrong"), Ok("wrong".into()));
+    process.tell(wrong);
+    assert_eq!(process.in_force(), Some((5, "five".into())));
+    let right = Event::Fetched(Source::Objects, stamp(6, "right"), Ok("right".into()));
+    process.tell(right);
+    assert_eq!(process.in_force(), Some((6, "right".into())));
+    assert_eq!(process.tracker.counts().split, 2);
+}
+
+#[test]
+fn content_that_does_not_match_its_digest_is_refused_and_fetched_elsewhere() {
+    let mut process = Process::start();
+    let wanted = stamp(2, "right");
+    process.tell(Event::Heard(peer(1), Some(wanted)));
+    process.tell(Event::Heard(peer(2), Some(wanted)));
+    process.tell(Event::Fetched(
+        Source::Peer(peer(1)),
+        wanted,
+        Ok("damaged".into()),
+    ));
+    assert_eq!(process.in_force(), None);
+    assert_eq!(process.tracker.counts().corrupt, 1);
+    process.now = process.now + Duration::from_secs(2);
+    let actions = process.tell(Event::Tick);
+    let fetch = Action::Fetch(Source::Peer(peer(2)), wanted);
+    assert!(actions.contains(&fetch), "{actions:?}");
+}
+
+#[test]
+fn fetch_without_answer_is_given_up() {
+    // A holder that is frozen must not keep the process on the old version.
+    let mut process = Process::start();
+    let wanted = stamp(2, "right");
+    let first = process.tell(Event::Heard(peer(1), Some(wanted)));
+    assert_eq!(first, [Action::Fetch(Source::Peer(peer(1)), wanted)]);
+    assert_eq!(process.tell(Event::Heard(peer(1), Some(wanted))), []);
+    process.now = process.now + Duration::from_secs(1);
+    let fetches = process.tell(Event::Tick);
+    assert!(
+        fetches.iter().any(|a| matches!(a, Action::Fetch(..))),
+        "{fetches:?}"
+    );
+    process.tell(Event::Fetched(
+        Source::Peer(peer(1)),
+        wanted,
+        Err(FetchError::Missing),
+    ));
+    process.now = process.now + Duration::from_secs(3);
+    let fetches = process.tell(Event::Tick);
+    assert!(
+        fetches.contains(&Action::Fetch(Source::Objects, wanted)),
+        "{fetches:?}"
+    );
+}
+
+#[test]
+fn lagging_peer_is_answered_and_an_equal_one_is_not() {
+    let mut process = Process::start();
+    process.give(5, "five");
+    let own = Some(stamp(5, "five"));
+    for behind in [None, Some(stamp(4, "four"))] {
+        let actions = process.tell(Event::Beacon(peer(3), behind));
+        assert_eq!(actions, [Action::SendBeacon(peer(3), own)]);
+    }
+    // Two processes that answered equal beacons would answer each other for ever.
+    assert_eq!(process.tell(Event::Beacon(peer(3), own)), []);
+}
+
+#[test]
+fn polls_and_served_fetches_stay_under_their_limits() {
+    for nodes in [1, 27, 1_160, 3_000] {
+        let rate = nodes as f64 / poll_interval(nodes).as_secs_f64();
+        assert!(rate <= 100.0, "{nodes} processes make {rate} reads/s");
+    }
+    let mut gate = FetchGate::default();
+    let admitted = (0..100).filter(|_| gate.admit()).count();
+    assert_eq!(
+        (admitted as u32, gate.refused()),
+        (FETCHES_SERVED, 100 - u64::from(FETCHES_SERVED))
+    );
+    gate.finish();
+    assert!(gate.admit());
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Heard(u64, u8),
+    Polled(u64, u8),
+    Fetched(u64, u8, bool),
+    Tick(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1u64..8, 0u8..2).prop_map(|(version, text)| Step::Heard(version, text)),
+        (1u64..8, 0u8..2).prop_map(|(version, text)| Step::Polled(version, text)),
+        (1u64..8, 0u8..2, any::<bool>())
+            .prop_map(|(version, text, whole)| Step::Fetched(version, text, whole)),
+        (0u16..3_000).prop_map(Step::Tick),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn any_order_of_events_keeps_versions_growing(steps in prop::collection::vec(step(), 1..60)) {
+        let mut process = Process::start();
+        let mut newest = 0;
+        let mut heard = Vec::new();
+        for step in steps {
+            let text = |version, text| format!("{version} {text}");
+            let event = match step {
+                Step::Heard(version, kind) => {
+                    heard.push(stamp(version, &text(version, kind)));
+                    Event::Heard(peer(1), heard.last().copied())
+                }
+                Step::Polled(version, kind) => {
+                    heard.push(stamp(version, &text(version, kind)));
+                    Event::Polled(heard.last().copied())
+                }
+                Step::Fetched(version, kind, whole) => {
+                    let content = text(version, kind);
+                    let fetched = if whole { content.as_str() } else { "damaged" };
+                    let stamp = stamp(version, &content);
+                    Event::Fetched(Source::Peer(peer(1)), stamp, Ok(fetched.into()))
+                }
+                Step::Tick(millis) => {
+                    process.now = process.now + Duration::from_millis(millis.into());
+                    Event::Tick
+                }
+            };
+            process.tell(event);
+            if let Some(content) = process.tracker.current() {
+                prop_assert!(content.stamp.version.0 >= newest);
+                prop_assert!(heard.contains(&content.stamp));
+                prop_assert_eq!(Document::digest(&content.text), content.stamp.digest);
+                newest = content.stamp.version.0;
+            }
+        }
+    }
+}
+
+/// Value of a field in a line of the experiment.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let fields = line.split(' ').filter_map(|part| part.split_once('='));
+    let mut values = fields
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value);
+    values.next().expect("the field is there")
+}
+
+#[test]
+fn simulated_fleet_reaches_each_version_in_time_and_never_reverts() {
+    let options = documents::Options {
+        seed: 7,
+        nodes: 150,
+        organisations: 10,
+    };
+    let lines = documents::run(&options).expect("lines");
+    assert_eq!(
+        lines,
+        documents::run(&options).expect("lines"),
+        "the same seed, another output"
+    );
+    let names: Vec<_> = lines.iter().map(|line| field(line, "variant")).collect();
+    for name in [
+        "poll_only",
+        "steady",
+        "outage",
+        "reconnect",
+        "restart",
+        "restart_all",
+    ] {
+        assert!(names.contains(&name), "{name}");
+    }
+    for line in &lines {
+        assert_eq!(field(line, "reversions"), "0", "{line}");
+        assert_eq!(field(line, "false_accepts"), "0", "{line}");
+        let last: f64 = field(line, "last_s")
+            .parse()
+            .expect("every process has every version");
+        // The target; the baseline without beacons misses it.
+        assert!(
+            last < 9.0 || field(line, "variant") == "poll_only",
+            "{line}"
+        );
+    }
+}
