--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,3 +24,4 @@
 mod subset_choice;
 mod switch;
 mod type_parsing;
+mod versions;
