--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub use policy::Policy;
 pub use quota::Quota;
 pub use replica::Explanation;
+pub use replica::Feature;
 pub use replica::Replica;
 pub use replica::Verdict;
 pub use report::Report;
