Drain an entry whose VM the platform lists as leaving

Cause: only agents looked for their own address on the VM list, so an entry on a leaving VM took requests until the platform stopped the VM.

Change: the entry drains on the list like the agent; both use one function.

Ruled out: leaving it to the platform's balancer, because the balancer learns of the drain only from /ready of the entry.

Before and after: the test entry_drains_when_the_platform_lists_it_as_leaving waited 40 s in vain for the drain; now the entry drains after the next read of the list, ends whole and exits with status 0.

Conclusion: signal, operator and list now have the same effect on both roles.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -13,8 +13,6 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
-use siskinbend_store::Vm;
-use siskinbend_store::VmState;
 use siskinbend_types::Incarnation;
 use siskinbend_types::ServiceName;
 use siskinbend_wire::Dispatch;
@@ -237,8 +235,7 @@
     let own = agent.settings.common.listen;
     vms::watch(store, limits::AGENT_LIST_INTERVAL, |list| {
         agent.spread.set_nodes(list.len());
-        let leaving = |vm: &Vm| vm.address == own && vm.state == VmState::Leaving;
-        if list.iter().any(leaving) && !agent.shutdown.is_draining() {
+        if vms::is_leaving(&list, own) && !agent.shutdown.is_draining() {
             log::info!(source = "platform"; "drain_started");
             agent.shutdown.drain();
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -135,13 +135,19 @@
     })
 }
 
-/// Follows the platform's list: connects to new agents and stops choosing those that leave.
+/// Follows the platform's list: connects to new agents, stops choosing those that leave, and drains
+/// when it says that this VM is leaving.
 async fn watch_vms(entry: Arc<Entry>) {
     let Some(store) = entry.store.clone() else {
         return;
     };
+    let own = entry.settings.common.listen;
     vms::watch(store, limits::ENTRY_LIST_INTERVAL, |list| {
         entry.spread.set_nodes(list.len());
+        if vms::is_leaving(&list, own) && !entry.shutdown.is_draining() {
+            log::info!(source = "platform"; "drain_started");
+            entry.shutdown.drain();
+        }
         for address in entry.fleet.take_list(list, entry.clock.now()) {
             tokio::spawn(link::keep(Arc::clone(&entry), address));
         }
