Cut off callers that never show their HTTP version

Cause: the HTTP server reads the first bytes of a connection, which tell HTTP/1.1 from HTTP/2, before its timeout for the head begins. A caller that sent nothing, or only the start of the HTTP/2 preface, kept its place among the 20,000 connections for ever.

Change: the entry waits for these bytes under the same timeout of 5 s before it hands the connection to the server.

Ruled out: closing every connection without a request after 5 s, because that resets idle HTTP/2 connections without a GOAWAY and a request under way on one would be unknown.

A caller that sends the whole preface and then nothing is left to the HTTP/2 pings and not tested.

Conclusion: silent callers hold a place for 5 s.

--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::Watcher;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -20,6 +21,9 @@
 use super::http;
 use crate::limits;
 
+/// First bytes of an HTTP/2 connection (RFC 9113, section 3.4).
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
 /// A running server.
 pub(super) struct Serving {
     pub(super) address: SocketAddr,
@@ -87,20 +91,61 @@
                 continue;
             }
         };
-        let service = TowerToHyperService::new(http::build_router(Arc::clone(&entry)));
-        let connection = builder
-            .serve_connection(TokioIo::new(socket), service)
-            .into_owned();
-        let connection = graceful.watch(connection);
+        let serving = serve(
+            Arc::clone(&entry),
+            Arc::clone(&builder),
+            graceful.watcher(),
+            socket,
+        );
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "caller_connection_failed");
-            }
+            serving.await;
             drop(place);
         });
     }
 }
 
+async fn serve(
+    entry: Arc<Entry>,
+    builder: Arc<Builder<TokioExecutor>>,
+    watcher: Watcher,
+    socket: TcpStream,
+) {
+    match tokio::time::timeout(limits::HEAD_TIMEOUT, wait_version(&socket)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => {
+            log::debug!(error:% = error; "caller_connection_failed");
+            return;
+        }
+        Err(_) => {
+            log::debug!("caller_sent_no_head");
+            return;
+        }
+    }
+    let service = TowerToHyperService::new(http::build_router(entry));
+    let connection = builder
+        .serve_connection(TokioIo::new(socket), service)
+        .into_owned();
+    if let Err(error) = watcher.watch(connection).await {
+        log::debug!(error:% = error; "caller_connection_failed");
+    }
+}
+
+/// Waits until the first bytes tell the HTTP version.
+///
+/// The HTTP server reads them without a time limit, so that a caller that sends less would keep
+/// its place for ever.
+async fn wait_version(socket: &TcpStream) -> std::io::Result<()> {
+    let mut start = [0; PREFACE.len()];
+    loop {
+        let length = socket.peek(&mut start).await?;
+        if length == 0 || length == PREFACE.len() || !PREFACE.starts_with(&start[..length]) {
+            return Ok(());
+        }
+        // The bytes stay in the socket, so that it is readable again at once.
+        tokio::time::sleep(limits::VERSION_PAUSE).await;
+    }
+}
+
 async fn accept_one(
     listener: &TcpListener,
     places: &Arc<Semaphore>,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -5,6 +5,9 @@
 /// Longest time for a caller to send the head of a request.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Pause between two looks at the first bytes of a caller's connection.
+pub const VERSION_PAUSE: Duration = Duration::from_millis(20);
+
 /// Longest time for a caller to send the body of a request.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
