Keep the deadline while a claim is written

Cause: the driver of a call awaited the claim write, and the lookup at another agent, before it looked at the timer or the caller again. With a slow table a caller with a deadline of 300 ms waited up to 5 s, the limit of the store client, and a caller that hung up was noticed as late.

Change: claim write and lookup are awaited beside the timer and the caller. A claim that is written after the deadline names an attempt that is never dispatched; a repeat learns that from the agent.

Ruled out: a shorter limit in the store client, because the deadline belongs to the call.

Conclusion: the table can delay a call only up to its deadline.

--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -1,6 +1,8 @@
 //! Carries out the actions of one call and feeds it with what happens.
 
 use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use axum::body::Bytes;
@@ -63,6 +65,9 @@
     chunks: u64,
 }
 
+/// A claim write or a lookup under way.
+type Pending = Pin<Box<dyn Future<Output = Event> + Send>>;
+
 /// A part of the answer that the call decides on.
 enum Held {
     Nothing,
@@ -80,6 +85,8 @@
     answer: Answer,
     events: VecDeque<Event>,
     open: Option<Open>,
+    /// Awaited beside the timer and the caller, because the table may be slower than the deadline.
+    pending: Option<Pending>,
     /// A chosen agent that counts as busy although nothing was sent yet.
     chosen: Option<AgentId>,
     timer: Option<Time>,
@@ -106,6 +113,7 @@
         answer,
         events: VecDeque::from([Event::Start]),
         open: None,
+        pending: None,
         chosen: None,
         timer: None,
         held: Held::Nothing,
@@ -141,6 +149,10 @@
             let open = self.open.as_mut();
             tokio::select! {
                 message = receive(open) => message,
+                event = settle(self.pending.as_mut()) => {
+                    self.pending = None;
+                    return event;
+                }
                 () = sleep_until(timer) => {
                     self.timer = None;
                     return Event::Timer;
@@ -257,10 +269,12 @@
             Action::Fail { outcome, reason } => self.fail(outcome, reason).await,
             Action::SetTimer(at) => self.timer = Some(at),
             Action::WriteClaim { row, replaces } => {
-                let event = claims::write(self.entry.store.as_deref(), &row, replaces).await;
-                self.events.push_back(event);
+                let entry = Arc::clone(&self.entry);
+                self.pending = Some(Box::pin(async move {
+                    claims::write(entry.store.as_deref(), &row, replaces).await
+                }));
             }
-            Action::Lookup(row) => self.lookup(&row).await,
+            Action::Lookup(row) => self.lookup(&row),
             Action::RecordAnswer { row, replaces } => self.record(*row, replaces),
         }
     }
@@ -373,7 +387,7 @@
     }
 
     /// Asks the agent of a claim what became of its attempt.
-    async fn lookup(&mut self, row: &ClaimRow) {
+    fn lookup(&mut self, row: &ClaimRow) {
         let named = AttemptRef {
             id: row.id,
             attempt: row.attempt,
@@ -381,14 +395,17 @@
             window: row.window,
         };
         let question = Message::Lookup(named, row.organisation.clone());
-        let answer = match self.entry.fleet.find_connection(&row.agent) {
-            Some(connection) => exchange::ask(&connection, row.id, &question).await,
-            None => None,
-        };
-        self.events.push_back(match answer {
-            Some(Message::Found(found)) => Event::LookedUp(found),
-            _ => Event::LookupFailed,
-        });
+        let connection = self.entry.fleet.find_connection(&row.agent);
+        self.pending = Some(Box::pin(async move {
+            let answer = match connection {
+                Some(connection) => exchange::ask(&connection, named.id, &question).await,
+                None => None,
+            };
+            match answer {
+                Some(Message::Found(found)) => Event::LookedUp(found),
+                _ => Event::LookupFailed,
+            }
+        }));
     }
 
     /// Writes the outcome to the claim row while the caller already has its answer.
@@ -505,6 +522,14 @@
     }
 }
 
+/// Waits for the claim write or lookup under way, or forever if there is none.
+async fn settle(pending: Option<&mut Pending>) -> Event {
+    match pending {
+        Some(pending) => pending.await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
