Measure what the programs cost as processes

Cause: the targets for rate, processor time of a chunk and memory were not measured with the real programs.

Change: scripts/measure overhead starts a plain service, two engines, four agents and one entry with two threads from the release build, sends the same load directly and through siskinbend, and prints latency, processor time from /proc/PID/stat, memory, the targets, and the load average. It also prints how long the entry's threads were ready and had no core, because a busy machine lowers the rate without raising the processor time.

Ruled out: a load generator of its own; the stand-ins have one.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod documents;
+pub mod overhead;
 pub mod rebalance;
 pub mod requests;
 pub mod routing;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,6 +6,7 @@
 
 use siskinbend_measure::capacity;
 use siskinbend_measure::documents;
+use siskinbend_measure::overhead;
 use siskinbend_measure::rebalance;
 use siskinbend_measure::requests;
 use siskinbend_measure::routing;
@@ -21,6 +22,9 @@
     /// Spread of a document version through the fleet
     #[bpaf(command)]
     Documents(#[bpaf(external(documents::options))] documents::Options),
+    /// Cost of a request, a chunk and an open stream
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
     /// Step-time skew and cost of each placement policy
     #[bpaf(command)]
     Rebalance(#[bpaf(external(rebalance::options))] rebalance::Options),
@@ -47,6 +51,7 @@
     let lines = match &chosen {
         Experiment::Capacity(options) => capacity::run(options),
         Experiment::Documents(options) => documents::run(options),
+        Experiment::Overhead(options) => overhead::run(options),
         Experiment::Rebalance(options) => rebalance::run(options),
         Experiment::Requests(options) => requests::run(options),
         Experiment::Routing(options) => routing::run(options),
