Test failures with the program as separate processes

Cause: kills, stops, cut links, outages, drains and wrong callers were only tested against the state machines, not against the sockets and tasks around them.

They wait for events. The plain stand-in can hold executions until the test lets them end, and a stand-in can be started again under its address.

Ruled out: times of work in milliseconds, because a busy machine changes their order.

--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -10,11 +10,13 @@
 use axum::extract::Path;
 use axum::extract::State;
 use axum::routing::get;
+use axum::routing::post;
 use bpaf::Bpaf;
 use http::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
+use tokio::sync::watch;
 
 use crate::tally::Counters;
 use crate::tally::Counts;
@@ -56,6 +58,8 @@
 struct Service {
     name: String,
     work: Duration,
+    /// While true, executions that have begun don't end.
+    held: watch::Sender<bool>,
     running: Mutex<usize>,
     counters: Mutex<Counters>,
 }
@@ -87,11 +91,13 @@
     let service = Arc::new(Service {
         name: options.name.clone(),
         work: Duration::from_millis(options.work_ms),
+        held: watch::Sender::new(false),
         running: Mutex::default(),
         counters: Mutex::default(),
     });
     Router::new()
         .route("/v1/{*path}", get(look_up).post(execute))
+        .route("/hold", post(hold))
         .route("/load", get(read_load))
         .route("/counts", get(read_counts))
         .with_state(service)
@@ -132,6 +138,8 @@
     if !service.work.is_zero() {
         tokio::time::sleep(service.work).await;
     }
+    // The service outlives its executions, so the wait ends only with the hold.
+    let _ = service.held.subscribe().wait_for(|held| !held).await;
     execution.1 = true;
     let name = service.name.clone();
     Json(Answer {
@@ -143,6 +151,11 @@
     })
 }
 
+/// Holds executions until it is called with `false`, so that a test decides when they end.
+async fn hold(State(service): State<Arc<Service>>, Json(held): Json<bool>) {
+    service.held.send_replace(held);
+}
+
 fn print_reference(echo: &Value) -> String {
     echo.as_str()
         .map_or_else(|| echo.to_string(), str::to_owned)
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -74,7 +74,15 @@
 /// # Errors
 /// No port can be bound.
 pub async fn spawn(router: Router) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    spawn_at((Ipv4Addr::LOCALHOST, 0).into(), router).await
+}
+
+/// Serves `router` on `address` in the background.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn spawn_at(address: SocketAddr, router: Router) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     tokio::spawn(serve(listener, router));
     Ok(address)
--- /dev/null
+++ b/tests/integration/graceful_drain.rs
@@ -0,0 +1,253 @@
+//! Planned stops cut off nothing.
+
+use http::Method;
+use serde_json::json;
+
+use crate::util::Backend;
+use crate::util::Process;
+use crate::util::Site;
+use crate::util::book;
+use crate::util::book_unkeyed;
+use crate::util::build_call;
+use crate::util::draft;
+use crate::util::find_busy;
+use crate::util::judge;
+use crate::util::look_up;
+use crate::util::read_executions;
+use crate::util::send;
+use crate::util::spawn;
+use crate::util::wait_for;
+
+/// Tokens of a stream that is still running when the drain begins.
+const TOKENS: u32 = 400;
+
+/// Two agents for each service behind two entries.
+struct Fleet {
+    site: Site,
+    plain: [Backend; 2],
+    engines: [Backend; 2],
+    desks: [Process; 2],
+    pools: [Process; 2],
+    entries: [Process; 2],
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let site = Site::start().await;
+        let plain = ["plain-1", "plain-2"].map(Backend::start_plain);
+        let engines = ["engine-1", "engine-2"].map(Backend::start_engine);
+        let desks = [0, 1].map(|n| site.start_agent(&format!("desk-{n}"), "desk", &plain[n]));
+        let pools = [0, 1].map(|n| site.start_agent(&format!("pool-{n}"), "pool", &engines[n]));
+        let known = [
+            desks[0].listen,
+            desks[1].listen,
+            pools[0].listen,
+            pools[1].listen,
+        ];
+        let entries = ["entry-1", "entry-2"].map(|name| site.start_entry(name, &known));
+        for entry in &entries {
+            entry.wait_usable(4).await;
+        }
+        Self {
+            site,
+            plain,
+            engines,
+            desks,
+            pools,
+            entries,
+        }
+    }
+
+    /// Begins a held booking and a stream, orders the drain of both their agents, and checks that
+    /// both end whole while new requests go to the other agents.
+    async fn check_agents<F>(&mut self, order: F)
+    where
+        F: AsyncFn(&Site, &Process),
+    {
+        for backend in &self.plain {
+            backend.hold(true).await;
+        }
+        let booking = spawn(book(&self.entries[0], "g-1", "g-1"));
+        let stream = spawn(draft(&self.entries[0], TOKENS));
+        let desk = find_busy(&[&self.plain[0], &self.plain[1]]).await;
+        let pool = find_busy(&[&self.engines[0], &self.engines[1]]).await;
+        self.plain[1 - desk].hold(false).await;
+        order(&self.site, &self.desks[desk]).await;
+        order(&self.site, &self.pools[pool]).await;
+        for n in 0..6 {
+            let answer = send(look_up(&self.entries[n % 2])).await;
+            assert!(answer.is_good(), "{:?}", judge(&answer));
+        }
+        let short = send(draft(&self.entries[1], 2)).await;
+        assert!(short.is_good(), "{:?}", judge(&short));
+        self.desks[desk].wait_draining().await;
+        let before = self.plain[desk].read_counts().await.lookups;
+        for n in 0..6 {
+            let answer = send(look_up(&self.entries[n % 2])).await;
+            assert!(answer.is_good(), "{:?}", judge(&answer));
+        }
+        assert_eq!(self.plain[desk].read_counts().await.lookups, before);
+        let answer = stream.await.expect("the caller runs");
+        assert!(answer.is_good(), "{:?}", judge(&answer));
+        // The last event follows the tokens.
+        assert_eq!(answer.chunks, u64::from(TOKENS) + 1);
+        self.plain[desk].hold(false).await;
+        let answer = booking.await.expect("the caller runs");
+        assert_eq!(read_executions(&answer), 1);
+        assert_eq!(self.desks[desk].wait().await.code(), Some(0));
+        assert_eq!(self.pools[pool].wait().await.code(), Some(0));
+        assert_eq!(self.plain[desk].count_runs("g-1").await, 1);
+    }
+}
+
+async fn order_by_operator(process: &Process) {
+    let call = build_call(process.admin, Method::POST, "/admin/drain", None);
+    assert_eq!(send(call).await.status, 200);
+}
+
+async fn list_as_leaving(site: &Site, leaving: &[&Process]) {
+    let vm = |(n, process): (usize, &&Process)| {
+        json!({"id": format!("vm-{n}"), "zone": "oyo", "state": "leaving",
+            "address": process.listen.to_string()})
+    };
+    let list: Vec<_> = leaving.iter().enumerate().map(vm).collect();
+    let call = build_call(site.platform, Method::PUT, "/vms", Some(json!(list)));
+    assert_eq!(send(call).await.status, 204);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agents_drain_whole_on_sigterm() {
+    // A restart of a backend server must not cut off what runs there.
+    let mut fleet = Fleet::start().await;
+    fleet
+        .check_agents(async |_, process| process.signal("TERM"))
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agents_drain_whole_on_an_operators_order() {
+    // The operator's order must have the same effect as the signal.
+    let mut fleet = Fleet::start().await;
+    fleet
+        .check_agents(async |_, process| order_by_operator(process).await)
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agents_drain_whole_on_two_orders_at_once() {
+    // A second order, such as a repeated signal, must not turn the drain into a hard stop.
+    let mut fleet = Fleet::start().await;
+    fleet
+        .check_agents(async |_, process| {
+            process.signal("TERM");
+            order_by_operator(process).await;
+            process.signal("TERM");
+            process.signal("INT");
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agent_drains_when_the_platform_lists_it_as_leaving() {
+    // The platform stops a leaving VM soon; the agent must not wait for a signal.
+    let mut fleet = Fleet::start().await;
+    list_as_leaving(&fleet.site, &[&fleet.desks[0]]).await;
+    let lookups = async || {
+        let answer = send(look_up(&fleet.entries[0])).await;
+        assert!(answer.is_good(), "{:?}", judge(&answer));
+        fleet.desks[0]
+            .read_log()
+            .contains("agent_drained")
+            .then_some(())
+    };
+    wait_for("the drain", lookups).await;
+    assert_eq!(fleet.desks[0].wait().await.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn last_replica_that_drains_refuses_as_not_run() {
+    // A caller may repeat a booking elsewhere only if the refusal says that it was not run.
+    let site = Site::start().await;
+    let backend = Backend::start_plain("plain-1");
+    let mut agent = site.start_agent("agent-1", "desk", &backend);
+    let entry = site.start_entry("entry-1", &[agent.listen]);
+    entry.wait_usable(1).await;
+    backend.hold(true).await;
+    let booking = spawn(book(&entry, "g-2", "g-2"));
+    backend.wait_started(1).await;
+    agent.signal("TERM");
+    agent.wait_draining().await;
+    let refused = send(book_unkeyed(&entry, "g-3")).await;
+    assert_eq!(judge(&refused).0, 503, "{:?}", judge(&refused));
+    assert_eq!(judge(&refused).1, "not_run");
+    backend.hold(false).await;
+    let answer = booking.await.expect("the caller runs");
+    assert_eq!(read_executions(&answer), 1);
+    assert_eq!(agent.wait().await.code(), Some(0));
+    assert_eq!(backend.count_runs("g-3").await, 0);
+}
+
+/// Begins a held booking and a stream at entry 1, orders its drain, and checks that both end whole.
+async fn check_entry<F>(fleet: &mut Fleet, order: F)
+where
+    F: AsyncFn(&Site, &Process),
+{
+    for backend in &fleet.plain {
+        backend.hold(true).await;
+    }
+    let booking = spawn(book(&fleet.entries[0], "g-4", "g-4"));
+    let stream = spawn(draft(&fleet.entries[0], 2 * TOKENS));
+    find_busy(&[&fleet.plain[0], &fleet.plain[1]]).await;
+    find_busy(&[&fleet.engines[0], &fleet.engines[1]]).await;
+    order(&fleet.site, &fleet.entries[0]).await;
+    fleet.entries[0].wait_draining().await;
+    let ready = build_call(fleet.entries[0].admin, Method::GET, "/ready", None);
+    assert_eq!(send(ready).await.status, 503);
+    assert!(send(look_up(&fleet.entries[1])).await.is_good());
+    let answer = stream.await.expect("the caller runs");
+    assert!(answer.is_good(), "{:?}", judge(&answer));
+    assert_eq!(answer.chunks, u64::from(2 * TOKENS) + 1);
+    for backend in &fleet.plain {
+        backend.hold(false).await;
+    }
+    let answer = booking.await.expect("the caller runs");
+    assert_eq!(read_executions(&answer), 1);
+    assert_eq!(fleet.entries[0].wait().await.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_drains_whole_on_two_orders_at_once() {
+    // An entry that is replaced must finish the requests of its callers.
+    let mut fleet = Fleet::start().await;
+    check_entry(&mut fleet, async |_, process| {
+        process.signal("TERM");
+        order_by_operator(process).await;
+        process.signal("TERM");
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_drains_when_the_platform_lists_it_as_leaving() {
+    // The platform stops a leaving VM soon; the entry must not wait for a signal.
+    let mut fleet = Fleet::start().await;
+    check_entry(&mut fleet, async |site, process| {
+        list_as_leaving(site, &[process]).await;
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_and_agent_that_drain_at_once_finish_their_request() {
+    // A rolling restart may reach both ends of a request.
+    let mut fleet = Fleet::start().await;
+    let stream = spawn(draft(&fleet.entries[0], TOKENS));
+    let pool = find_busy(&[&fleet.engines[0], &fleet.engines[1]]).await;
+    fleet.pools[pool].signal("TERM");
+    fleet.entries[0].signal("TERM");
+    let answer = stream.await.expect("the caller runs");
+    assert!(answer.is_good(), "{:?}", judge(&answer));
+    assert_eq!(answer.chunks, u64::from(TOKENS) + 1);
+    assert_eq!(fleet.pools[pool].wait().await.code(), Some(0));
+    assert_eq!(fleet.entries[0].wait().await.code(), Some(0));
+}
