--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod capacity;
 pub mod documents;
+pub mod fit;
+pub mod links;
 pub mod overhead;
 pub mod rebalance;
 pub mod requests;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,6 +6,7 @@
 
 use siskinbend_measure::capacity;
 use siskinbend_measure::documents;
+use siskinbend_measure::links;
 use siskinbend_measure::overhead;
 use siskinbend_measure::rebalance;
 use siskinbend_measure::requests;
@@ -22,6 +23,9 @@
     /// Spread of a document version through the fleet
     #[bpaf(command)]
     Documents(#[bpaf(external(documents::options))] documents::Options),
+    /// Bytes of control traffic on real connections
+    #[bpaf(command)]
+    Links(#[bpaf(external(links::options))] links::Options),
     /// Cost of a request, a chunk and an open stream
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
@@ -51,6 +55,7 @@
     let lines = match &chosen {
         Experiment::Capacity(options) => capacity::run(options),
         Experiment::Documents(options) => documents::run(options),
+        Experiment::Links(options) => links::run(options),
         Experiment::Overhead(options) => overhead::run(options),
         Experiment::Rebalance(options) => rebalance::run(options),
         Experiment::Requests(options) => requests::run(options),
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -61,7 +61,6 @@
     sender: Sender,
     receiver: Receiver,
     sent: Time,
-    first: Option<Time>,
     chunks: u64,
 }
 
@@ -185,19 +184,25 @@
                 Event::Refused(attempt, reason)
             }
             Ok(Message::Head(head)) => {
-                open.first.get_or_insert(now);
                 self.held = Held::Head(head);
                 Event::Head(attempt)
             }
             Ok(Message::Chunk(bytes)) => {
                 let index = open.chunks;
                 open.chunks += 1;
+                if index == 0 {
+                    let after = now.since(open.sent);
+                    self.entry
+                        .fleet
+                        .note_first(&self.spec.service, &open.agent, after, now);
+                }
                 self.held = Held::Chunk(bytes);
                 Event::Chunk(attempt, index)
             }
             Ok(Message::End(status)) => {
                 let chunks = open.chunks;
-                let first_token = open.first.unwrap_or(now).since(open.sent);
+                // With a body the time of its first part was noted when it arrived.
+                let first_token = (chunks == 0).then(|| now.since(open.sent));
                 self.observe(&status, now);
                 self.close(Done::Ok { first_token });
                 Event::End(attempt, chunks)
@@ -305,8 +310,7 @@
                 "attempt_retried"
             );
         }
-        let connection = self.entry.fleet.find_connection(&target.agent);
-        let stream = match connection {
+        let stream = match find_reachable(&self.entry, &target.agent, self.spec.idempotent).await {
             Some(connection) => connection.open_bi().await.ok(),
             None => None,
         };
@@ -327,7 +331,6 @@
             sender,
             receiver: Receiver::new(Some(self.spec.id), receive),
             sent: now,
-            first: None,
             chunks: 0,
         });
         if sent.is_err() {
@@ -395,9 +398,9 @@
             window: row.window,
         };
         let question = Message::Lookup(named, row.organisation.clone());
-        let connection = self.entry.fleet.find_connection(&row.agent);
+        let (entry, agent) = (Arc::clone(&self.entry), row.agent.clone());
         self.pending = Some(Box::pin(async move {
-            let answer = match connection {
+            let answer = match entry.fleet.reach(&agent).await {
                 Some(connection) => exchange::ask(&connection, named.id, &question).await,
                 None => None,
             };
@@ -507,6 +510,23 @@
     }
 }
 
+/// The connection to an agent; for a call that may not be repeated only if the agent was heard a
+/// moment ago or answers now.
+async fn find_reachable(entry: &Entry, agent: &AgentId, idempotent: bool) -> Option<Connection> {
+    let connection = entry.fleet.find_connection(agent)?;
+    let silence = entry.fleet.find_silence(agent, entry.clock.now())?;
+    if idempotent || silence < limits::FRESH {
+        return Some(connection);
+    }
+    match exchange::ask(&connection, exchange::NO_REQUEST, &Message::Probe).await {
+        Some(Message::Report(status)) => {
+            entry.fleet.observe(agent, &status, entry.clock.now());
+            Some(connection)
+        }
+        _ => None,
+    }
+}
+
 async fn send_cancel(connection: &Connection, attempt: AttemptRef) -> Option<Event> {
     match exchange::ask(connection, attempt.id, &Message::Cancel(attempt)).await {
         Some(Message::CancelState(state)) => Some(Event::Cancelled(attempt.attempt, state)),
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use quinn::Connection;
-use quinn::Endpoint;
+use tokio::sync::watch;
 
 use siskinbend_control::membership::Listed;
 use siskinbend_control::membership::Membership;
+use siskinbend_document::Document;
 use siskinbend_request::Action;
 use siskinbend_request::Call;
 use siskinbend_request::Event;
@@ -21,6 +22,7 @@
 use siskinbend_request::Target;
 use siskinbend_routing::Done;
 use siskinbend_routing::Picker;
+use siskinbend_routing::Quota;
 use siskinbend_routing::Report;
 use siskinbend_routing::Seen;
 use siskinbend_routing::Wish;
@@ -28,6 +30,8 @@
 use siskinbend_store::Vm;
 use siskinbend_store::VmState;
 use siskinbend_types::AgentId;
+use siskinbend_types::Organisation;
+use siskinbend_types::Rate;
 use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
@@ -35,7 +39,9 @@
 use siskinbend_wire::Hello;
 use siskinbend_wire::Load;
 use siskinbend_wire::Status;
+use siskinbend_wire::transport::Dialer;
 
+use super::directory::Directory;
 use super::link;
 use crate::limits;
 
@@ -54,28 +60,45 @@
 struct Link {
     connection: Connection,
     hello: Hello,
+    status: Status,
+    heard: Time,
+    /// The platform's list says that its VM is leaving.
+    leaving: bool,
 }
 
 /// All agents that this entry knows.
 pub(crate) struct Fleet {
-    pub(crate) endpoint: Endpoint,
+    pub(crate) dialer: Arc<Dialer>,
     zone: Zone,
     /// Agents of the settings, which are never forgotten.
     fixed: Vec<SocketAddr>,
     pools: Mutex<BTreeMap<ServiceName, Pool>>,
     links: Mutex<HashMap<AgentId, Link>>,
     membership: Mutex<Membership>,
+    quota: Mutex<Quota>,
+    directory: Mutex<Directory>,
+    /// Tells the links that another choice of agents may be due.
+    pub(crate) changed: watch::Sender<()>,
 }
 
 impl Fleet {
-    pub(crate) fn new(endpoint: Endpoint, zone: Zone, fixed: Vec<SocketAddr>) -> Self {
+    pub(crate) fn new(
+        dialer: Arc<Dialer>,
+        name: AgentId,
+        zone: Zone,
+        fixed: Vec<SocketAddr>,
+    ) -> Self {
+        let directory = Directory::new(name, zone.clone());
         Self {
-            endpoint,
+            directory: Mutex::new(directory),
+            changed: watch::Sender::new(()),
+            dialer,
             zone,
             fixed,
             pools: Mutex::default(),
             links: Mutex::default(),
             membership: Mutex::default(),
+            quota: Mutex::default(),
         }
     }
 
@@ -124,19 +147,50 @@
 
     /// Stops choosing agents whose VM is leaving, without waiting for their next report.
     fn apply_leaving(&self, now: Time) {
-        let links: Vec<Link> = Self::lock(&self.links).values().cloned().collect();
-        for link in links {
-            if self.is_leaving(&link) {
-                self.observe(&link.hello.agent, &link.hello.status, now);
+        let membership = Self::lock(&self.membership);
+        let leaves = |link: &Link| {
+            let member = membership.find(link.connection.remote_address());
+            member.is_some_and(|m| m.leaving)
+        };
+        let mut links = Self::lock(&self.links);
+        let mut changed = Vec::new();
+        for (agent, link) in links.iter_mut() {
+            if leaves(link) != link.leaving {
+                link.leaving = !link.leaving;
+                changed.push((agent.clone(), link.status));
             }
         }
+        drop((links, membership));
+        for (agent, status) in changed {
+            self.observe(&agent, &status, now);
+        }
     }
 
-    fn is_leaving(&self, link: &Link) -> bool {
-        let membership = Self::lock(&self.membership);
-        membership
-            .find(link.connection.remote_address())
-            .is_some_and(|m| m.leaving)
+    /// Notes what a connected agent says, and tells whether this entry keeps the connection.
+    pub(crate) fn learn(&self, address: SocketAddr, hello: &Hello) -> bool {
+        let (changed, chosen) = {
+            let mut directory = Self::lock(&self.directory);
+            (
+                directory.learn(address, hello),
+                directory.is_chosen(address),
+            )
+        };
+        if changed {
+            self.changed.send_replace(());
+        }
+        chosen
+    }
+
+    /// Gives the place of an agent in the subset to another.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        if Self::lock(&self.directory).forget(address) {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Tells whether this entry keeps a connection to an agent.
+    pub(crate) fn is_chosen(&self, address: SocketAddr) -> bool {
+        Self::lock(&self.directory).is_chosen(address)
     }
 
     /// Tells whether an address is still worth connecting to.
@@ -147,10 +201,18 @@
     /// Adds a connected agent.
     pub(crate) fn add(&self, connection: &Connection, hello: &Hello, opened: Time, now: Time) {
         let report = link::build_report(connection.remote_address(), hello, &hello.status, opened);
-        Self::lock(&self.membership).take_report(report, now);
+        let leaving = {
+            let mut membership = Self::lock(&self.membership);
+            membership.take_report(report, now);
+            let member = membership.find(connection.remote_address());
+            member.is_some_and(|m| m.leaving)
+        };
         let link = Link {
             connection: connection.clone(),
             hello: hello.clone(),
+            status: hello.status,
+            heard: now,
+            leaving,
         };
         Self::lock(&self.links).insert(hello.agent.clone(), link);
     }
@@ -183,6 +245,33 @@
         });
     }
 
+    /// Takes a request into account; false if the organisation has used up its rate.
+    pub(crate) fn admit(&self, who: &Organisation, rate: Rate, now: Time) -> bool {
+        let entries = Self::lock(&self.links)
+            .values()
+            .map(|l| l.status.entries)
+            .max();
+        Self::lock(&self.quota).admit(who, rate, entries.unwrap_or(1), now)
+    }
+
+    /// Forgets the rates of organisations that are no longer in the document.
+    pub(crate) fn retain_organisations(&self, document: &Document) {
+        let known = |who: &Organisation| document.organisations.iter().any(|o| o.name == *who);
+        Self::lock(&self.quota).retain(known);
+    }
+
+    /// Number of connected agents.
+    pub(crate) fn count_links(&self) -> usize {
+        Self::lock(&self.links).len()
+    }
+
+    /// Time since an agent was last heard; `None` if it isn't connected.
+    pub(crate) fn find_silence(&self, agent: &AgentId, now: Time) -> Option<Duration> {
+        Self::lock(&self.links)
+            .get(agent)
+            .map(|link| now.since(link.heard))
+    }
+
     /// The connection to an agent.
     pub(crate) fn find_connection(&self, agent: &AgentId) -> Option<Connection> {
         Self::lock(&self.links)
@@ -190,20 +279,36 @@
             .map(|link| link.connection.clone())
     }
 
+    /// The connection to an agent, or a connection of its own to an agent outside the subset: the
+    /// claim of a keyed call may name any agent of the service.
+    pub(crate) async fn reach(&self, agent: &AgentId) -> Option<Connection> {
+        if let Some(connection) = self.find_connection(agent) {
+            return Some(connection);
+        }
+        let address = Self::lock(&self.directory).find_address(agent)?;
+        self.dialer.connect(address).await.ok()
+    }
+
     /// Takes in the status of an agent.
     pub(crate) fn observe(&self, agent: &AgentId, status: &Status, now: Time) {
-        let Some(link) = Self::lock(&self.links).get(agent).cloned() else {
-            return;
-        };
-        let seen = Seen {
-            incarnation: status.incarnation,
-            window: status.window,
-            zone: link.hello.zone.clone(),
-            draining: status.draining || self.is_leaving(&link),
-            report: to_report(&status.load),
-            age: Duration::ZERO,
+        let (service, seen) = {
+            let mut links = Self::lock(&self.links);
+            let Some(link) = links.get_mut(agent) else {
+                return;
+            };
+            link.heard = now;
+            link.status = *status;
+            let seen = Seen {
+                incarnation: status.incarnation,
+                window: status.window,
+                zone: link.hello.zone.clone(),
+                draining: status.draining || link.leaving,
+                report: to_report(&status.load),
+                age: Duration::ZERO,
+            };
+            (link.hello.service.clone(), seen)
         };
-        self.with_pool(&link.hello.service, |pool| {
+        self.with_pool(&service, |pool| {
             pool.picker.observe(agent, seen, now);
         });
     }
@@ -226,6 +331,17 @@
         })
     }
 
+    /// Tells the replica choice how long the first part of an answer took.
+    pub(crate) fn note_first(
+        &self,
+        service: &ServiceName,
+        agent: &AgentId,
+        after: Duration,
+        now: Time,
+    ) {
+        self.with_pool(service, |pool| pool.picker.first_token(agent, after, now));
+    }
+
     /// Tells the replica choice how an attempt ended.
     pub(crate) fn note_done(&self, service: &ServiceName, agent: &AgentId, done: Done, now: Time) {
         self.with_pool(service, |pool| pool.picker.done(agent, done, now));
@@ -241,13 +357,20 @@
         call.handle(event, now, &mut Self::lock(budget))
     }
 
-    /// The agents that need a probe now.
+    /// The agents that need a probe now; with many agents each is probed more rarely.
     pub(crate) fn find_probes(&self, now: Time) -> Vec<AgentId> {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "there are far fewer than 2^52 links"
+        )]
+        let share = self.count_links() as f64 / limits::PROBE_RATE;
+        let quiet = limits::PROBE_QUIET.max(Duration::from_secs_f64(share));
         let mut pools = Self::lock(&self.pools);
-        pools
-            .values_mut()
-            .flat_map(|pool| pool.picker.to_probe(now))
-            .collect()
+        let due = |pool: &mut Pool| {
+            pool.picker.set_quiet(quiet);
+            pool.picker.to_probe(now)
+        };
+        pools.values_mut().flat_map(due).collect()
     }
 
     /// One line for each replica: why it is or isn't chosen.
