--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -7,6 +7,7 @@
 use siskinbend_measure::capacity;
 use siskinbend_measure::documents;
 use siskinbend_measure::links;
+use siskinbend_measure::overhead;
 use siskinbend_measure::rebalance;
 use siskinbend_measure::requests;
 use siskinbend_measure::routing;
@@ -25,6 +26,9 @@
     /// Bytes of control traffic on real connections
     #[bpaf(command)]
     Links(#[bpaf(external(links::options))] links::Options),
+    /// Cost of a request, a chunk and an open stream
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
     /// Step-time skew and cost of each placement policy
     #[bpaf(command)]
     Rebalance(#[bpaf(external(rebalance::options))] rebalance::Options),
@@ -52,6 +56,7 @@
         Experiment::Capacity(options) => capacity::run(options),
         Experiment::Documents(options) => documents::run(options),
         Experiment::Links(options) => links::run(options),
+        Experiment::Overhead(options) => overhead::run(options),
         Experiment::Rebalance(options) => rebalance::run(options),
         Experiment::Requests(options) => requests::run(options),
         Experiment::Routing(options) => routing::run(options),
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -11,6 +11,7 @@
 
 use siskinbend_document::Organisation as OrganisationEntry;
 use siskinbend_document::Service;
+use siskinbend_document::ServiceKind;
 use siskinbend_request::AttemptRef;
 use siskinbend_request::CancelState;
 use siskinbend_request::Finish;
@@ -69,6 +70,9 @@
     ledger: Ledger,
     queue: Queue<Job>,
     open: HashMap<Key, Open>,
+    /// Silence of the backend server that is no sign of a stall: a plain service shows no progress
+    /// within a call.
+    quiet: Duration,
 }
 
 /// Ledger and queue of one agent.
@@ -82,6 +86,7 @@
             ledger: Ledger::new(ledger::Settings::default(), incarnation, now),
             queue: Queue::new(admission::Settings::default()),
             open: HashMap::new(),
+            quiet: Duration::ZERO,
         };
         Self {
             inner: Mutex::new(inner),
@@ -105,7 +110,13 @@
                 weight: o.weight,
             })
             .collect();
-        self.lock().queue.configure(admission::Settings {
+        let stall = service.routes.iter().map(|route| route.stall_ms).max();
+        let mut inner = self.lock();
+        inner.quiet = match service.kind {
+            ServiceKind::Model => Duration::ZERO,
+            ServiceKind::Plain => Duration::from_millis(stall.unwrap_or_default()),
+        };
+        inner.queue.configure(admission::Settings {
             slots: service.concurrency,
             limit: usize::try_from(service.queue_limit).unwrap_or(usize::MAX),
             weights,
@@ -126,7 +137,11 @@
                 queued: report.queued,
                 slots: report.slots,
                 hold_ms: millis(report.hold),
-                idle_ms: millis(report.idle),
+                idle_ms: if report.idle > inner.quiet {
+                    millis(report.idle)
+                } else {
+                    0
+                },
             },
             entries: 0,
             newest: None,
--- a/src/agent/group/driver.rs
+++ b/src/agent/group/driver.rs
@@ -343,13 +343,15 @@
                 self.planner.commit(switch.map);
                 self.last = format!("map {} committed for step {}", switch.map, switch.step);
             }
-            Outcome::Aborted { map, reason } => {
+            Outcome::Aborted { map, reason, rank } => {
+                let rank = rank.map_or("none".to_owned(), |rank| rank.to_string());
                 log::warn!(
-                    group:% = group, map:% = map, outcome = "aborted", reason = reason.as_str();
+                    group:% = group, map:% = map, outcome = "aborted", reason = reason.as_str(),
+                    rank = rank;
                     "switch_ended"
                 );
                 self.parts.agent.count_group(reason.as_str());
-                self.last = format!("map {map} aborted: {reason}");
+                self.last = format!("map {map} aborted: {reason}, rank {rank}");
             }
         }
     }
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -1,6 +1,8 @@
 //! Carries out the actions of one call and feeds it with what happens.
 
 use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use axum::body::Bytes;
@@ -62,6 +64,9 @@
     chunks: u64,
 }
 
+/// A claim write or a lookup under way.
+type Pending = Pin<Box<dyn Future<Output = Event> + Send>>;
+
 /// A part of the answer that the call decides on.
 enum Held {
     Nothing,
@@ -79,6 +84,8 @@
     answer: Answer,
     events: VecDeque<Event>,
     open: Option<Open>,
+    /// Awaited beside the timer and the caller, because the table may be slower than the deadline.
+    pending: Option<Pending>,
     /// A chosen agent that counts as busy although nothing was sent yet.
     chosen: Option<AgentId>,
     timer: Option<Time>,
@@ -105,6 +112,7 @@
         answer,
         events: VecDeque::from([Event::Start]),
         open: None,
+        pending: None,
         chosen: None,
         timer: None,
         held: Held::Nothing,
@@ -140,6 +148,10 @@
             let open = self.open.as_mut();
             tokio::select! {
                 message = receive(open) => message,
+                event = settle(self.pending.as_mut()) => {
+                    self.pending = None;
+                    return event;
+                }
                 () = sleep_until(timer) => {
                     self.timer = None;
                     return Event::Timer;
@@ -262,10 +274,12 @@
             Action::Fail { outcome, reason } => self.fail(outcome, reason).await,
             Action::SetTimer(at) => self.timer = Some(at),
             Action::WriteClaim { row, replaces } => {
-                let event = claims::write(self.entry.store.as_deref(), &row, replaces).await;
-                self.events.push_back(event);
+                let entry = Arc::clone(&self.entry);
+                self.pending = Some(Box::pin(async move {
+                    claims::write(entry.store.as_deref(), &row, replaces).await
+                }));
             }
-            Action::Lookup(row) => self.lookup(&row).await,
+            Action::Lookup(row) => self.lookup(&row),
             Action::RecordAnswer { row, replaces } => self.record(*row, replaces),
         }
     }
@@ -275,6 +289,7 @@
         let wish = Wish {
             prefix: self.forward.prefix,
             avoid,
+            ..Wish::default()
         };
         let now = self.entry.clock.now();
         let event = match self.entry.fleet.choose(&self.spec.service, &wish, now) {
@@ -296,7 +311,7 @@
                 "attempt_retried"
             );
         }
-        let stream = match self.find_reachable(&target.agent).await {
+        let stream = match find_reachable(&self.entry, &target.agent, self.spec.idempotent).await {
             Some(connection) => connection.open_bi().await.ok(),
             None => None,
         };
@@ -325,24 +340,6 @@
         }
     }
 
-    /// The connection to an agent; for a call that may not be repeated only if the agent was heard
-    /// a moment ago or answers now.
-    async fn find_reachable(&self, agent: &AgentId) -> Option<Connection> {
-        let fleet = &self.entry.fleet;
-        let connection = fleet.find_connection(agent)?;
-        let silence = fleet.find_silence(agent, self.entry.clock.now())?;
-        if self.spec.idempotent || silence < limits::FRESH {
-            return Some(connection);
-        }
-        match exchange::ask(&connection, exchange::NO_REQUEST, &Message::Probe).await {
-            Some(Message::Report(status)) => {
-                fleet.observe(agent, &status, self.entry.clock.now());
-                Some(connection)
-            }
-            _ => None,
-        }
-    }
-
     fn build_dispatch(&self, attempt: Attempt, target: &Target) -> Vec<Message> {
         let left = self.spec.deadline.since(self.entry.clock.now());
         let mut messages = vec![Message::Dispatch(Dispatch {
@@ -394,7 +391,7 @@
     }
 
     /// Asks the agent of a claim what became of its attempt.
-    async fn lookup(&mut self, row: &ClaimRow) {
+    fn lookup(&mut self, row: &ClaimRow) {
         let named = AttemptRef {
             id: row.id,
             attempt: row.attempt,
@@ -402,14 +399,17 @@
             window: row.window,
         };
         let question = Message::Lookup(named, row.organisation.clone());
-        let answer = match self.entry.fleet.reach(&row.agent).await {
-            Some(connection) => exchange::ask(&connection, row.id, &question).await,
-            None => None,
-        };
-        self.events.push_back(match answer {
-            Some(Message::Found(found)) => Event::LookedUp(found),
-            _ => Event::LookupFailed,
-        });
+        let (entry, agent) = (Arc::clone(&self.entry), row.agent.clone());
+        self.pending = Some(Box::pin(async move {
+            let answer = match entry.fleet.reach(&agent).await {
+                Some(connection) => exchange::ask(&connection, named.id, &question).await,
+                None => None,
+            };
+            match answer {
+                Some(Message::Found(found)) => Event::LookedUp(found),
+                _ => Event::LookupFailed,
+            }
+        }));
     }
 
     /// Writes the outcome to the claim row while the caller already has its answer.
@@ -511,6 +511,23 @@
     }
 }
 
+/// The connection to an agent; for a call that may not be repeated only if the agent was heard a
+/// moment ago or answers now.
+async fn find_reachable(entry: &Entry, agent: &AgentId, idempotent: bool) -> Option<Connection> {
+    let connection = entry.fleet.find_connection(agent)?;
+    let silence = entry.fleet.find_silence(agent, entry.clock.now())?;
+    if idempotent || silence < limits::FRESH {
+        return Some(connection);
+    }
+    match exchange::ask(&connection, exchange::NO_REQUEST, &Message::Probe).await {
+        Some(Message::Report(status)) => {
+            entry.fleet.observe(agent, &status, entry.clock.now());
+            Some(connection)
+        }
+        _ => None,
+    }
+}
+
 async fn send_cancel(connection: &Connection, attempt: AttemptRef) -> Option<Event> {
     match exchange::ask(connection, attempt.id, &Message::Cancel(attempt)).await {
         Some(Message::CancelState(state)) => Some(Event::Cancelled(attempt.attempt, state)),
@@ -526,6 +543,14 @@
     }
 }
 
+/// Waits for the claim write or lookup under way, or forever if there is none.
+async fn settle(pending: Option<&mut Pending>) -> Event {
+    match pending {
+        Some(pending) => pending.await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,11 +1,17 @@
 //! Integration tests, one file a feature.
 
+mod agent_kill;
+mod bad_callers;
 mod call_util;
 mod choice;
 mod claims;
 mod document;
 mod ejection;
+mod entry_kill;
 mod fence;
+mod freeze_wake;
+mod graceful_drain;
+mod half_cut_link;
 mod history;
 mod lease;
 mod ledger;
@@ -14,14 +20,19 @@
 mod outcomes;
 mod placement;
 mod placement_counts;
+mod platform_outage;
 mod promotion;
 mod queue;
 mod rate_limits;
+mod relay;
 mod request_history;
 mod request_random;
+mod rollout;
+mod sample;
 mod standins;
 mod store;
 mod subset_choice;
 mod switch;
 mod type_parsing;
+mod util;
 mod versions;
