--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -16,7 +16,7 @@
 /// Interval between two beacons of a process that has none yet.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Peers that receive one beacon.
-pub const BEACON_PEERS: usize = 3;
+pub const BEACON_PEERS: usize = 1;
 /// Peers that hear of a version at once from each process that puts it in force.
 pub const PUSH_PEERS: usize = 4;
 
