Resume broken streams

Cause: a connection lost in the middle of an answer cut it, though the agent and the backend server were still at work.

Change: Spec.resume allows it. After LinkLost an accepted attempt is resumed: the entry asks for the frames after those it received (the head counts as one), for at most 1 s. The agent keeps the newest 64 KiB of frames for 2 s (request::resume::Held) and refuses if a missing frame was dropped. An attempt that was not accepted is cancelled instead, because a cancel can prove that it never runs. The experiment resumes broken streams and keeps only four frames, so that some can't be resumed.

--- a/crates/measure/src/requests/agent.rs
+++ b/crates/measure/src/requests/agent.rs
@@ -9,6 +9,8 @@
 use siskinbend_request::ClaimState;
 use siskinbend_request::Event;
 use siskinbend_request::Finish;
+use siskinbend_request::Held;
+use siskinbend_request::HoldSettings;
 use siskinbend_request::Ledger;
 use siskinbend_request::claim;
 use siskinbend_request::ledger;
@@ -18,6 +20,8 @@
 use siskinbend_types::RequestId;
 use siskinbend_types::Time;
 
+use super::faults::HELD_FRAMES;
+use super::faults::HOLD_US;
 use super::faults::QUEUE;
 use super::faults::SLOTS;
 use super::load::key_name;
@@ -40,6 +44,7 @@
     origin: Origin,
     deadline: Time,
     stream: Stream,
+    held: Held<Event>,
     /// The execution; 0 while the attempt is queued.
     execution: Execution,
     chunks: u64,
@@ -67,6 +72,8 @@
     ledger: Ledger,
     incarnation: Incarnation,
     jobs: BTreeMap<Key, Job>,
+    /// Ended attempts whose entry may not have heard the end.
+    ended: BTreeMap<Key, Job>,
     queue: VecDeque<Key>,
     running: usize,
 }
@@ -80,6 +87,7 @@
             ledger: Ledger::new(ledger::Settings::default(), incarnation, now),
             incarnation,
             jobs: BTreeMap::new(),
+            ended: BTreeMap::new(),
             queue: VecDeque::new(),
             running: 0,
         }
@@ -128,6 +136,7 @@
         dead.process.alive = false;
         dead.process.thaw = Time(0);
         dead.queue.clear();
+        dead.ended.clear();
         dead.running = 0;
         // The backend server goes on with what it has begun; nobody hears of it.
         let jobs = std::mem::take(&mut dead.jobs);
@@ -188,6 +197,7 @@
                 }
                 self.stop_if_idle(agent);
             }
+            ToAgent::Resume(attempt, received) => self.resume(agent, origin, &attempt, received),
             ToAgent::Lookup(attempt, owner, question) => {
                 let found = self.agents[agent].ledger.lookup(&attempt, &owner, clock);
                 let event = Box::new(Event::LookedUp(found));
@@ -224,6 +234,10 @@
             origin,
             deadline,
             stream,
+            held: Held::new(HoldSettings {
+                bytes: HELD_FRAMES,
+                ..HoldSettings::default()
+            }),
             execution: 0,
             chunks: self.rng.random_range(0..6),
             pace_us: if self.chance(0.03) {
@@ -319,15 +333,74 @@
             }
             _ => None,
         };
+        job.held.push(event.clone(), 1);
         self.send_frame(origin, &mut stream, event, execution);
+        self.keep_stream(agent, key, stream);
         match end {
             Some(end) => self.end_job(agent, key, end),
-            None => {
-                if let Some(job) = self.agents[agent].jobs.get_mut(&key) {
-                    job.stream = stream;
-                }
-                self.push(pace, Item::Step(agent, run, key, step + 1));
-            }
+            None => self.push(pace, Item::Step(agent, run, key, step + 1)),
+        }
+    }
+
+    /// Notes how the stream of a job stands after a frame.
+    fn keep_stream(&mut self, agent: usize, key: Key, stream: Stream) {
+        let now = self.now;
+        let server = &mut self.agents[agent];
+        let (run, clock) = (server.process.run, server.process.clock(now));
+        let Some(job) = server.jobs.get_mut(&key) else {
+            return;
+        };
+        job.stream = stream;
+        if stream.broken && !job.held.is_lost() {
+            job.held.lose(clock);
+            self.push(HOLD_US, Item::Unheard(agent, run, key));
+        }
+    }
+
+    /// Goes on with a broken stream at the entry that asks.
+    fn resume(&mut self, agent: usize, origin: Origin, attempt: &AttemptRef, received: u64) {
+        let now = self.now;
+        let key = (attempt.id, attempt.attempt);
+        let server = &mut self.agents[agent];
+        let clock = server.process.clock(now);
+        let current = server.incarnation == attempt.incarnation;
+        let job = server.jobs.get_mut(&key).or(server.ended.get_mut(&key));
+        let resumed = job.filter(|_| current).and_then(|job| {
+            let frames = job.held.resume(received, clock).ok()?;
+            Some((frames, job.execution))
+        });
+        let Some((frames, execution)) = resumed else {
+            let event = Box::new(Event::NotResumed(key.1));
+            self.send(Item::ToEntry(origin, event, 0));
+            return;
+        };
+        self.oracle.note("resumed");
+        let mut stream = Stream {
+            shuffled: false,
+            last: now,
+            broken: false,
+        };
+        self.send_frame(origin, &mut stream, Event::Resumed(key.1), 0);
+        for frame in frames {
+            self.send_frame(origin, &mut stream, frame, execution);
+        }
+        self.keep_stream(agent, key, stream);
+    }
+
+    /// Stops work whose entry has not come back, if it may be repeated.
+    pub(super) fn stop_waiting(&mut self, agent: usize, run: u64, key: Key) {
+        let now = self.now;
+        let server = &mut self.agents[agent];
+        if server.process.run != run {
+            return;
+        }
+        server.ended.remove(&key);
+        let clock = server.process.clock(now);
+        let expired = server.jobs.get(&key).is_some_and(|job| {
+            job.held.is_expired(clock) && job.dispatch.idempotent && job.execution > 0
+        });
+        if expired {
+            self.end_job(agent, key, Finish::Failed);
         }
     }
 
@@ -335,9 +408,13 @@
         let now = self.now;
         let server = &mut self.agents[agent];
         let clock = server.process.clock(now);
-        server.jobs.remove(&key);
+        let run = server.process.run;
+        if let Some(job) = server.jobs.remove(&key) {
+            server.ended.insert(key, job);
+        }
         server.running -= 1;
         server.ledger.finish(key.0, key.1, end, clock);
+        self.push(HOLD_US, Item::Unheard(agent, run, key));
         self.serve(agent);
         self.stop_if_idle(agent);
     }
@@ -355,7 +432,8 @@
             | Event::Head(attempt)
             | Event::Chunk(attempt, _)
             | Event::End(attempt, _)
-            | Event::Cut(attempt, _) => attempt,
+            | Event::Cut(attempt, _)
+            | Event::Resumed(attempt) => attempt,
             _ => return,
         };
         let item = Item::ToEntry(origin, Box::new(event), execution);
--- a/crates/measure/src/requests/entry.rs
+++ b/crates/measure/src/requests/entry.rs
@@ -41,7 +41,7 @@
 use super::world::World;
 
 /// Retries that an entry saves up.
-const BURST: u32 = 100;
+const BURST: u32 = 10;
 
 /// What a call waits for.
 #[derive(Debug, Clone)]
@@ -237,6 +237,15 @@
                 let message = ToAgent::Cancel(refer(origin.id, attempt, &target));
                 self.send_agent(origin, &target.agent, message);
             }
+            Action::Resume {
+                attempt,
+                target,
+                received,
+            } => {
+                self.oracle.note("resumes");
+                let message = ToAgent::Resume(refer(origin.id, attempt, &target), received);
+                self.send_agent(origin, &target.agent, message);
+            }
             Action::PassHead => {
                 live.execution = execution;
                 self.oracle.pass_head(request, execution);
--- a/crates/measure/src/requests/faults.rs
+++ b/crates/measure/src/requests/faults.rs
@@ -86,3 +86,7 @@
 pub const ASK_US: u64 = 500_000;
 /// How long a draining agent waits for running work.
 pub const DRAIN_US: u64 = 20_000_000;
+/// Frames that an agent keeps of each answer; few, so that some streams can't be resumed.
+pub const HELD_FRAMES: usize = 4;
+/// How long an agent keeps a broken stream.
+pub const HOLD_US: u64 = 2_000_000;
--- a/crates/measure/src/requests/load.rs
+++ b/crates/measure/src/requests/load.rs
@@ -172,6 +172,7 @@
             deadline: clock + Duration::from_micros(limit),
             stall: Duration::from_micros(self.spread(300_000, 3_000_000)),
             attempts: 3,
+            resume: self.chance(0.7),
         }
     }
 }
--- a/crates/measure/src/requests/world.rs
+++ b/crates/measure/src/requests/world.rs
@@ -53,6 +53,8 @@
     Dispatch(ledger::Dispatch, Duration),
     /// Cancels an attempt.
     Cancel(AttemptRef),
+    /// Asks to go on with a broken stream after so many frames.
+    Resume(AttemptRef, u64),
     /// Asks about an attempt of an organisation; carries the number of the question.
     Lookup(AttemptRef, Organisation, u32),
 }
@@ -109,6 +111,8 @@
     Timer(Origin, Time),
     /// A backend server gets on with an execution.
     Step(usize, u64, (RequestId, Attempt), u64),
+    /// An agent has waited long enough for the entry of an attempt.
+    Unheard(usize, u64, (RequestId, Attempt)),
     /// A report of an agent reaches the given run of an entry.
     Report(usize, u64, usize, View),
     /// Agents send reports.
@@ -298,6 +302,7 @@
                 self.reach_agent(agent, run, origin, *message);
             }
             Item::Step(agent, run, key, step) => self.take_step(agent, run, key, step),
+            Item::Unheard(agent, run, key) => self.stop_waiting(agent, run, key),
             Item::Table(origin, question, query) => self.ask_table(origin, question, &query),
             Item::Beat => self.beat(),
             Item::Fault => self.fail_something(),
@@ -322,9 +327,10 @@
             | Item::Overdue(origin, _)
             | Item::Timer(origin, _) => &self.entries[origin.entry].process,
             Item::Report(entry, ..) => &self.entries[*entry].process,
-            Item::ToAgent(agent, ..) | Item::Step(agent, ..) | Item::StopAgent(agent, _) => {
-                &self.agents[*agent].process
-            }
+            Item::ToAgent(agent, ..)
+            | Item::Step(agent, ..)
+            | Item::Unheard(agent, ..)
+            | Item::StopAgent(agent, _) => &self.agents[*agent].process,
             _ => return None,
         };
         Some(process.thaw).filter(|thaw| *thaw > self.now)
--- a/crates/request/src/budget.rs
+++ b/crates/request/src/budget.rs
@@ -16,6 +16,9 @@
 
 impl RetryBudget {
     /// A full budget that saves up at most `burst` retries.
+    ///
+    /// The burst lets an entry with little traffic retry at all. It is all that a run of an entry
+    /// can spend beyond a tenth of its requests, so it should be small.
     pub fn new(burst: u32) -> Self {
         let limit = u64::from(burst) * RETRY_MILLIS;
         Self {
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -28,6 +28,9 @@
 /// how long after its deadline a caller waits to learn the outcome.
 const CANCEL_WAIT: Duration = Duration::from_secs(1);
 
+/// How long an entry tries to resume a broken stream; well under the stall times in use.
+const RESUME_WAIT: Duration = Duration::from_secs(1);
+
 /// What a call is and how long it may take.
 #[derive(Debug, Clone)]
 pub struct Spec {
@@ -47,6 +50,8 @@
     pub stall: Duration,
     /// Most attempts in all.
     pub attempts: u32,
+    /// Whether the agent keeps a broken stream so that it can be resumed.
+    pub resume: bool,
 }
 
 /// The idempotency key of a call.
@@ -117,6 +122,10 @@
     Cut(Attempt, Reason),
     /// The stream of the attempt broke.
     LinkLost(Attempt),
+    /// The agent goes on with the stream after the frames that were received.
+    Resumed(Attempt),
+    /// The agent can't go on with the stream.
+    NotResumed(Attempt),
     /// The agent answered a cancel.
     Cancelled(Attempt, CancelState),
     /// The time of the last `SetTimer` has come.
@@ -160,6 +169,15 @@
         /// The agent.
         target: Target,
     },
+    /// Ask the agent, over a new connection, to go on with the stream of the attempt.
+    Resume {
+        /// The attempt.
+        attempt: Attempt,
+        /// The agent.
+        target: Target,
+        /// Frames of the answer received; the head counts as one.
+        received: u64,
+    },
     /// Pass the head of the answer to the caller.
     PassHead,
     /// Pass the chunk to the caller.
@@ -237,6 +255,8 @@
     head: bool,
     /// Chunks passed to the caller.
     chunks: u64,
+    /// Until when the broken stream may be resumed.
+    resuming: Option<Time>,
 }
 
 /// A cancel under way; the head of the attempt was not passed.
--- a/crates/request/src/call/attempt.rs
+++ b/crates/request/src/call/attempt.rs
@@ -14,6 +14,7 @@
 use crate::call::CANCEL_WAIT;
 use crate::call::Cancelling;
 use crate::call::Phase;
+use crate::call::RESUME_WAIT;
 use crate::call::Sent;
 
 impl Call {
@@ -34,6 +35,7 @@
             accepted: false,
             head: false,
             chunks: 0,
+            resuming: None,
         });
     }
 
@@ -79,6 +81,8 @@
         | Event::End(attempt, _)
         | Event::Cut(attempt, _)
         | Event::LinkLost(attempt)
+        | Event::Resumed(attempt)
+        | Event::NotResumed(attempt)
         | Event::Cancelled(attempt, _)) = frame
         else {
             return;
@@ -134,7 +138,10 @@
             Event::Chunk(_, index) if index < sent.chunks => {}
             Event::End(_, chunks) if sent.head && chunks == sent.chunks => self.complete(out),
             Event::Cut(_, reason) => self.taint(reason, now, budget, out),
-            Event::LinkLost(_) => self.cancel(Reason::LinkLost, now, out),
+            Event::LinkLost(_) => self.resume(now, out),
+            Event::Resumed(_) => sent.resuming = None,
+            Event::NotResumed(_) if sent.resuming.is_none() => {}
+            Event::NotResumed(_) => self.cancel(Reason::LinkLost, now, out),
             // A part of the answer is missing, or the frame contradicts an earlier one.
             _ => self.cancel(Reason::Protocol, now, out),
         }
@@ -147,6 +154,27 @@
         self.phase = Phase::Done;
     }
 
+    /// Asks the agent to go on with a broken stream. An attempt that was not accepted is
+    /// cancelled instead: it may not have arrived, and a cancel can prove that.
+    fn resume(&mut self, now: Time, out: &mut Vec<Action>) {
+        let attempt = self.attempt;
+        match &mut self.phase {
+            Phase::Sent(sent)
+                if self.spec.resume && sent.resuming.is_none() && (sent.accepted || sent.head) =>
+            {
+                let until = now + RESUME_WAIT;
+                sent.resuming = Some(until);
+                out.push(Action::SetTimer(until.min(self.spec.deadline)));
+                out.push(Action::Resume {
+                    attempt,
+                    target: sent.target.clone(),
+                    received: u64::from(sent.head) + sent.chunks,
+                });
+            }
+            _ => self.cancel(Reason::LinkLost, now, out),
+        }
+    }
+
     /// Cancels a silent attempt, or waits on.
     pub(super) fn check_silence(&mut self, now: Time, out: &mut Vec<Action>) {
         let Phase::Sent(sent) = &self.phase else {
@@ -155,6 +183,12 @@
         let stalled = sent.heard + self.spec.stall;
         if now >= self.spec.deadline {
             self.cancel(Reason::Deadline, now, out);
+        } else if let Some(until) = sent.resuming {
+            if now >= until {
+                self.cancel(Reason::LinkLost, now, out);
+            } else {
+                out.push(Action::SetTimer(until.min(self.spec.deadline)));
+            }
         } else if now >= stalled {
             self.cancel(Reason::Stalled, now, out);
         } else {
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod claim;
 pub mod ledger;
+pub mod resume;
 
 pub use budget::RetryBudget;
 pub use call::Action;
@@ -23,3 +24,5 @@
 pub use ledger::Finish;
 pub use ledger::Found;
 pub use ledger::Ledger;
+pub use resume::Held;
+pub use resume::HoldSettings;
--- a/tests/integration/call_util.rs
+++ b/tests/integration/call_util.rs
@@ -89,6 +89,7 @@
         deadline: Time::from_millis(DEADLINE),
         stall: Duration::from_millis(STALL),
         attempts: 3,
+        resume: false,
     }
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,4 +6,5 @@
 mod outcomes;
 mod request_history;
 mod request_random;
+mod resumption;
 mod type_parsing;
--- a/tests/integration/request_random.rs
+++ b/tests/integration/request_random.rs
@@ -118,6 +118,8 @@
         2 => (attempt(), 0..3u64).prop_map(|(a, n)| Event::End(a, n)),
         1 => (attempt(), reason()).prop_map(|(a, r)| Event::Cut(a, r)),
         2 => attempt().prop_map(Event::LinkLost),
+        1 => attempt().prop_map(Event::Resumed),
+        1 => attempt().prop_map(Event::NotResumed),
         3 => (attempt(), state).prop_map(|(a, s)| Event::Cancelled(a, s)),
         2 => Just(Event::Timer),
         1 => Just(Event::NoTarget(Reason::NoReplica)),
@@ -196,6 +198,7 @@
     #[test]
     fn no_order_of_events_gives_a_false_outcome(
         kind in 0..4u8,
+        resume: bool,
         events in prop::collection::vec((event(), 0..1_500u64), 1..40),
     ) {
         let mut spec = match kind {
@@ -203,6 +206,7 @@
             1 => plain(false),
             _ => keyed(1),
         };
+        spec.resume = resume;
         if let (3, Some(key)) = (kind, &mut spec.key) {
             key.on_outage = OnOutage::Run;
         }
