--- a/tests/integration/call_util.rs
+++ b/tests/integration/call_util.rs
@@ -154,6 +154,11 @@
     })
 }
 
+#[track_caller]
+pub fn assert_failure(actions: &[Action], outcome: Outcome, reason: Reason) {
+    assert_eq!(failure(actions), Some((outcome, reason)), "{actions:?}");
+}
+
 pub fn chooses(actions: &[Action]) -> bool {
     actions
         .iter()
--- a/tests/integration/claims.rs
+++ b/tests/integration/claims.rs
@@ -19,6 +19,7 @@
 
 use crate::call_util::Bench;
 use crate::call_util::answer;
+use crate::call_util::assert_failure;
 use crate::call_util::dispatched;
 use crate::call_util::failure;
 use crate::call_util::keyed;
@@ -51,10 +52,7 @@
 fn unknown_claim_write_runs_nothing() {
     let (mut bench, _) = Bench::claiming(1);
     let actions = bench.send(Event::ClaimUnavailable);
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::NotRun, Reason::StoreUnavailable))
-    );
+    assert_failure(&actions, Outcome::NotRun, Reason::StoreUnavailable);
 }
 
 #[test]
@@ -62,10 +60,7 @@
     let (mut bench, row, actions) = repeat();
     assert_eq!(actions, vec![Action::Lookup(Box::new(row))]);
     let actions = bench.send(Event::LookedUp(Found::Running));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::InProgress))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::InProgress);
 }
 
 #[test]
@@ -142,10 +137,7 @@
     let taken = written_row(&repeat.send(Event::LookedUp(Found::NeverStarts)));
     // It doesn't cancel the repeat in turn.
     let actions = owner.send(Event::ClaimHeld(Box::new(taken), 6));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::InProgress))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::InProgress);
 }
 
 #[test]
@@ -159,10 +151,7 @@
     assert_eq!((row.attempt, row.agent), (Attempt(2), target(2).agent));
     // The table fails now; the row names the first attempt, so the second must not run.
     let actions = bench.send(Event::ClaimUnavailable);
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::NotRun, Reason::StoreUnavailable))
-    );
+    assert_failure(&actions, Outcome::NotRun, Reason::StoreUnavailable);
 }
 
 #[test]
@@ -199,10 +188,7 @@
     bench.send(Event::Chosen(target(1)));
     let state = ClaimState::Answered(Some(answer("booked")));
     let actions = bench.send(Event::ClaimHeld(Box::new(ClaimRow { state, ..row }), 5));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::NotRun, Reason::KeyReused))
-    );
+    assert_failure(&actions, Outcome::NotRun, Reason::KeyReused);
 }
 
 #[test]
@@ -229,10 +215,7 @@
     bench.send(Event::ClaimHeld(Box::new(row), 5));
     bench.send(Event::LookedUp(Found::NeverStarts));
     let actions = bench.send(Event::ClaimUnavailable);
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::NotRun, Reason::StoreUnavailable))
-    );
+    assert_failure(&actions, Outcome::NotRun, Reason::StoreUnavailable);
 }
 
 #[test]
--- a/tests/integration/ledger.rs
+++ b/tests/integration/ledger.rs
@@ -38,6 +38,16 @@
     Time::from_millis((window - 1) * 30_000 + 10)
 }
 
+/// Cancels an attempt of a window in another window.
+fn cancel(ledger: &mut Ledger, (attempt, window): (u32, u64), now: u64) -> CancelState {
+    ledger.cancel(&refer(attempt, window), within(now))
+}
+
+/// Dispatches an attempt of a window in another window.
+fn admit(ledger: &mut Ledger, (attempt, window): (u32, u64), now: u64) -> Result<(), Reason> {
+    ledger.admit(&dispatch(refer(attempt, window)), within(now))
+}
+
 fn run_to_end(ledger: &mut Ledger, window: u64) {
     let now = within(window);
     assert_eq!(ledger.admit(&dispatch(refer(1, window)), now), Ok(()));
@@ -48,25 +58,16 @@
 #[test]
 fn dispatch_after_its_cancel_does_not_run() {
     let mut ledger = ledger();
-    assert_eq!(
-        ledger.cancel(&refer(1, 1), within(1)),
-        CancelState::NeverStarts
-    );
-    assert_eq!(
-        ledger.admit(&dispatch(refer(1, 1)), within(1)),
-        Err(Reason::Tombstone)
-    );
+    assert_eq!(cancel(&mut ledger, (1, 1), 1), CancelState::NeverStarts);
+    assert_eq!(admit(&mut ledger, (1, 1), 1), Err(Reason::Tombstone));
 }
 
 #[test]
 fn tombstone_is_kept_until_its_dispatch_is_stale() {
     for late in 1..12 {
         let mut ledger = ledger();
-        assert_eq!(
-            ledger.cancel(&refer(1, 1), within(1)),
-            CancelState::NeverStarts
-        );
-        let refused = ledger.admit(&dispatch(refer(1, 1)), within(late));
+        assert_eq!(cancel(&mut ledger, (1, 1), 1), CancelState::NeverStarts);
+        let refused = admit(&mut ledger, (1, 1), late);
         assert!(refused.is_err(), "admitted in window {late}");
     }
 }
@@ -74,11 +75,8 @@
 #[test]
 fn cancelled_while_queued_never_starts() {
     let mut ledger = ledger();
-    ledger.admit(&dispatch(refer(1, 1)), within(1)).unwrap();
-    assert_eq!(
-        ledger.cancel(&refer(1, 1), within(1)),
-        CancelState::NeverStarts
-    );
+    admit(&mut ledger, (1, 1), 1).unwrap();
+    assert_eq!(cancel(&mut ledger, (1, 1), 1), CancelState::NeverStarts);
     assert!(!ledger.start(ID, FIRST, within(1)));
     assert!(ledger.is_idle());
 }
@@ -86,7 +84,7 @@
 #[test]
 fn queued_longer_than_a_claim_lives_never_starts() {
     let mut ledger = ledger();
-    ledger.admit(&dispatch(refer(1, 1)), within(1)).unwrap();
+    admit(&mut ledger, (1, 1), 1).unwrap();
     assert!(!ledger.start(ID, FIRST, within(5)));
     assert!(ledger.is_idle());
 }
@@ -94,21 +92,18 @@
 #[test]
 fn dispatch_of_a_paused_entry_is_stale() {
     let mut ledger = ledger();
-    assert_eq!(ledger.admit(&dispatch(refer(1, 1)), within(2)), Ok(()));
-    assert_eq!(
-        ledger.admit(&dispatch(refer(2, 1)), within(3)),
-        Err(Reason::StaleWindow)
-    );
+    assert_eq!(admit(&mut ledger, (1, 1), 2), Ok(()));
+    assert_eq!(admit(&mut ledger, (2, 1), 3), Err(Reason::StaleWindow));
 }
 
 #[test]
 fn dispatch_for_an_earlier_run_is_refused() {
     let mut ledger = Ledger::new(Settings::default(), Incarnation(2), Time(0));
-    let refused = ledger.admit(&dispatch(refer(1, 1)), within(1));
+    let refused = admit(&mut ledger, (1, 1), 1);
     assert_eq!(refused, Err(Reason::WrongIncarnation));
     // The earlier run may have started it, so neither answer proves anything.
     assert_eq!(
-        ledger.cancel(&refer(1, 1), within(1)),
+        cancel(&mut ledger, (1, 1), 1),
         CancelState::OtherIncarnation
     );
     let owner = name("growers");
@@ -139,10 +134,10 @@
     for late in 1..12 {
         let mut ledger = ledger();
         run_to_end(&mut ledger, 1);
-        let refused = ledger.admit(&dispatch(refer(1, 1)), within(late));
+        let refused = admit(&mut ledger, (1, 1), late);
         let proved = !matches!(refused, Err(Reason::Duplicate | Reason::OutcomeLost));
         assert!(!proved, "{refused:?} in window {late}");
-        let state = ledger.cancel(&refer(1, 1), within(late));
+        let state = cancel(&mut ledger, (1, 1), late);
         assert_ne!(state, CancelState::NeverStarts, "in window {late}");
         let found = ledger.lookup(&refer(1, 1), &owner, within(late));
         assert_ne!(found, Found::NeverStarts, "in window {late}");
@@ -153,40 +148,25 @@
 fn window_from_the_future_proves_nothing() {
     let mut ledger = ledger();
     // A tombstone left now would be gone when a dispatch of window 9 is admissible.
-    assert_eq!(
-        ledger.cancel(&refer(1, 9), within(1)),
-        CancelState::Forgotten
-    );
-    assert_eq!(
-        ledger.admit(&dispatch(refer(1, 9)), within(1)),
-        Err(Reason::Protocol)
-    );
+    assert_eq!(cancel(&mut ledger, (1, 9), 1), CancelState::Forgotten);
+    assert_eq!(admit(&mut ledger, (1, 9), 1), Err(Reason::Protocol));
 }
 
 #[test]
 fn old_records_are_dropped() {
     let mut ledger = ledger();
     run_to_end(&mut ledger, 1);
-    assert_eq!(
-        ledger.cancel(&refer(1, 1), within(4)),
-        CancelState::Finished
-    );
-    assert_eq!(
-        ledger.cancel(&refer(1, 1), within(5)),
-        CancelState::Forgotten
-    );
+    assert_eq!(cancel(&mut ledger, (1, 1), 4), CancelState::Finished);
+    assert_eq!(cancel(&mut ledger, (1, 1), 5), CancelState::Forgotten);
     assert_eq!(ledger.window(), Window(5));
 }
 
 #[test]
 fn drain_refuses_new_work_and_finishes_old() {
     let mut ledger = ledger();
-    ledger.admit(&dispatch(refer(1, 1)), within(1)).unwrap();
+    admit(&mut ledger, (1, 1), 1).unwrap();
     ledger.drain();
-    assert_eq!(
-        ledger.admit(&dispatch(refer(2, 1)), within(1)),
-        Err(Reason::Draining)
-    );
+    assert_eq!(admit(&mut ledger, (2, 1), 1), Err(Reason::Draining));
     assert!(ledger.start(ID, FIRST, within(1)));
     assert!(!ledger.is_idle());
     ledger.finish(ID, FIRST, Finish::Failed, within(1));
@@ -196,13 +176,10 @@
 #[test]
 fn refused_by_the_queue_never_starts() {
     let mut ledger = ledger();
-    ledger.admit(&dispatch(refer(1, 1)), within(1)).unwrap();
+    admit(&mut ledger, (1, 1), 1).unwrap();
     ledger.refuse(ID, FIRST);
     assert!(ledger.is_idle());
-    assert_eq!(
-        ledger.admit(&dispatch(refer(1, 1)), within(1)),
-        Err(Reason::Tombstone)
-    );
+    assert_eq!(admit(&mut ledger, (1, 1), 1), Err(Reason::Tombstone));
 }
 
 #[test]
@@ -210,7 +187,7 @@
     let stranger = name("inspectors");
     let owner = name("growers");
     let mut ledger = ledger();
-    ledger.admit(&dispatch(refer(1, 1)), within(1)).unwrap();
+    admit(&mut ledger, (1, 1), 1).unwrap();
     assert_eq!(
         ledger.lookup(&refer(1, 1), &stranger, within(1)),
         Found::Forgotten
--- a/tests/integration/outcomes.rs
+++ b/tests/integration/outcomes.rs
@@ -12,6 +12,7 @@
 use crate::call_util::Bench;
 use crate::call_util::DEADLINE;
 use crate::call_util::STALL;
+use crate::call_util::assert_failure;
 use crate::call_util::chooses;
 use crate::call_util::dispatched;
 use crate::call_util::failure;
@@ -40,7 +41,7 @@
     assert!(!bench.call.is_done());
     bench.wait(1_000);
     let actions = bench.send(Event::Timer);
-    assert_eq!(failure(&actions), Some((Outcome::Unknown, Reason::Stalled)));
+    assert_failure(&actions, Outcome::Unknown, Reason::Stalled);
 }
 
 #[test]
@@ -76,10 +77,7 @@
     assert_eq!(bench.send(Event::End(FIRST, 0)), vec![Action::PassEnd]);
     let mut bench = Bench::dispatched(plain(false));
     let actions = bench.send(Event::Refused(FIRST, Reason::OutcomeLost));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::OutcomeLost))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::OutcomeLost);
 }
 
 #[test]
@@ -92,10 +90,7 @@
     ));
     bench.send(Event::Chosen(target(2)));
     let actions = bench.send(Event::Refused(SECOND, Reason::Draining));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::Draining))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::Draining);
 }
 
 #[test]
@@ -151,10 +146,7 @@
         bench.send(Event::Head(FIRST));
         bench.send(Event::Chunk(FIRST, 0));
         let actions = bench.send(event);
-        assert_eq!(
-            failure(&actions),
-            Some((Outcome::Unknown, Reason::Protocol))
-        );
+        assert_failure(&actions, Outcome::Unknown, Reason::Protocol);
     }
 }
 
@@ -173,10 +165,7 @@
     let mut bench = Bench::dispatched(plain(false));
     let actions = bench.send(Event::CallerGone);
     assert!(matches!(actions[0], Action::Cancel { attempt: FIRST, .. }));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::CallerGone))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::CallerGone);
 }
 
 #[test]
@@ -185,7 +174,7 @@
     bench.send(Event::Start);
     bench.wait(DEADLINE);
     let actions = bench.send(Event::Chosen(target(1)));
-    assert_eq!(failure(&actions), Some((Outcome::NotRun, Reason::Deadline)));
+    assert_failure(&actions, Outcome::NotRun, Reason::Deadline);
     assert_eq!(dispatched(&actions), None);
 }
 
@@ -199,10 +188,7 @@
     bench.send(Event::NotSent(FIRST));
     bench.send(Event::Chosen(target(2)));
     let actions = bench.send(Event::Refused(SECOND, Reason::QueueFull));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::NotRun, Reason::RetryBudget))
-    );
+    assert_failure(&actions, Outcome::NotRun, Reason::RetryBudget);
 }
 
 #[test]
--- a/tests/integration/resumption.rs
+++ b/tests/integration/resumption.rs
@@ -13,7 +13,7 @@
 use siskinbend_types::Time;
 
 use crate::call_util::Bench;
-use crate::call_util::failure;
+use crate::call_util::assert_failure;
 use crate::call_util::plain;
 use crate::call_util::target;
 
@@ -61,27 +61,18 @@
     let (mut bench, _) = broken();
     bench.send(Event::Resumed(FIRST));
     let actions = bench.send(Event::Chunk(FIRST, 3));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::Protocol))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::Protocol);
 }
 
 #[test]
 fn stream_that_cannot_be_resumed_is_not_restarted() {
     let (mut bench, _) = broken();
     let actions = bench.send(Event::NotResumed(FIRST));
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::LinkLost))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::LinkLost);
     let (mut bench, _) = broken();
     bench.wait(1_000);
     let actions = bench.send(Event::Timer);
-    assert_eq!(
-        failure(&actions),
-        Some((Outcome::Unknown, Reason::LinkLost))
-    );
+    assert_failure(&actions, Outcome::Unknown, Reason::LinkLost);
 }
 
 #[test]
