--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -33,6 +33,7 @@
 mod store;
 mod subset_choice;
 mod switch;
+mod resumption;
 mod type_parsing;
 mod util;
 mod versions;
