Tell noise from change more strictly and draw skew against bytes

The bound states its assumptions and leaves out the limit of replicas while a rank is slow.

Ruled out: keeping the limits and asking for two intervals in a row, because a hot expert's deviation lasts over the four intervals of the decayed mean.

--- a/crates/measure/src/rebalance.rs
+++ b/crates/measure/src/rebalance.rs
@@ -2,9 +2,11 @@
 
 mod course;
 mod noise;
+mod plot;
 mod trace;
 
 use std::fmt;
+use std::path::PathBuf;
 use std::str::FromStr;
 use std::thread;
 
@@ -20,11 +22,15 @@
 use course::INTERVAL_S;
 use course::STEPS_A_SECOND;
 use course::Setting;
+use plot::Point;
 pub use trace::Kind;
 
 /// Experts that each token chooses in a layer.
 const EXPERTS_A_TOKEN: f64 = 8.0;
 
+/// Equal copies of a policy that decide side by side.
+const POLICY_COPIES: usize = 3;
+
 /// The prices of the two sample documents.
 const SKEW_FIRST: Price = Price {
     skew_weight: 4.0,
@@ -113,6 +119,9 @@
     /// Price of one policy in place of skew_first and cost_first: skew weight, byte cost, horizon
     #[bpaf(argument("W,B,H"), optional)]
     pub price: Option<PriceText>,
+    /// Also draw skew against bytes into this SVG file
+    #[bpaf(argument("FILE"), optional)]
+    pub plot: Option<PathBuf>,
 }
 
 /// A policy of the experiment.
@@ -137,7 +146,8 @@
                 // The full replan gets its map at once. With the weight store's rate it would be
                 // behind by minutes and no measure of what a placement can reach.
                 let instant = policy == PolicyKind::Replan;
-                course::run(setting, kind, policy.build(price).as_mut(), instant)
+                let mut copies = [(); POLICY_COPIES].map(|()| policy.build(price));
+                course::run(setting, kind, &mut copies, instant)
             }
         }
     }
@@ -164,14 +174,24 @@
     };
     let jobs: Vec<_> = kinds.iter().map(start).collect();
     let mut lines = Vec::new();
+    let mut points = Vec::new();
     for (kind, job) in kinds.into_iter().zip(jobs) {
         let results = job
             .join()
             .map_err(|_| format!("the trace {} failed", kind.as_str()))?;
         for (variant, figures) in results {
+            points.push(Point {
+                policy: variant.as_str(),
+                bytes: figures.bytes,
+                skew: figures.mean_skew(),
+            });
             lines.push(write_line(variant.as_str(), kind, figures));
         }
     }
+    if let Some(path) = &options.plot {
+        plot::draw(path, &points)
+            .map_err(|error| format!("{} can't be drawn: {error}", path.display()))?;
+    }
     Ok(lines)
 }
 
@@ -230,7 +250,7 @@
 }
 
 fn write_line(policy: &str, kind: Kind, mut figures: Figures) -> String {
-    let mean = figures.skews.iter().sum::<f64>() / figures.skews.len() as f64;
+    let mean = figures.mean_skew();
     figures.skews.sort_by(f64::total_cmp);
     figures.plans_ns.sort_unstable();
     let quantile = |part: f64| figures.skews[((figures.skews.len() - 1) as f64 * part) as usize];
--- a/crates/measure/src/rebalance/course.rs
+++ b/crates/measure/src/rebalance/course.rs
@@ -80,11 +80,20 @@
     pub ranks_touched: u64,
 }
 
+impl Figures {
+    /// Mean of the skew over all steps.
+    pub fn mean_skew(&self) -> f64 {
+        self.skews.iter().sum::<f64>() / self.skews.len() as f64
+    }
+}
+
 /// A policy that runs through a trace.
 pub struct Course<'a> {
     setting: Setting,
     kind: Kind,
-    policy: &'a mut dyn Policy,
+    /// Equal copies of the policy; the fastest decides on the figure of a plan's duration, because
+    /// other processes of the machine interrupt the others.
+    policies: &'a mut [Box<dyn Policy>],
     /// Whether changes take force at once, without regard to the weight store.
     instant: bool,
     map: ExpertMap,
@@ -100,13 +109,18 @@
 }
 
 /// Runs a policy through a trace.
-pub fn run(setting: Setting, kind: Kind, policy: &mut dyn Policy, instant: bool) -> Figures {
+pub fn run(
+    setting: Setting,
+    kind: Kind,
+    policies: &mut [Box<dyn Policy>],
+    instant: bool,
+) -> Figures {
     let trace = draw_trace(setting, kind);
     let map = start_map(setting, &trace);
     let course = Course {
         setting,
         kind,
-        policy,
+        policies,
         instant,
         aggregate: Aggregate::new(setting.shape, map.clone()),
         counted: clear_counts(setting.shape),
@@ -147,6 +161,9 @@
 
 /// Skew that the limited number of replicas enforces, whatever the noise.
 fn find_floor(shape: Shape, demand: &[Vec<f64>], speeds: &[f64]) -> f64 {
+    if speeds.iter().any(|s| *s != speeds[0]) {
+        return 0.0;
+    }
     let level: f64 = demand
         .iter()
         .map(|layer| bound::find_level(shape, layer, speeds))
@@ -296,18 +313,28 @@
         }
         let setting = self.setting;
         let demand = self.aggregate.estimate();
-        let begin = Instant::now();
-        let decision = self.policy.decide(&View {
+        let view = View {
             shape: setting.shape,
             map: &self.map,
             demand: &demand,
             expert_size: setting.expert_size,
             budget: ByteSize(setting.load_rate.0 * LOADING_S),
-        });
-        let spent = begin.elapsed().as_nanos() as u64;
+        };
+        let mut spent = u64::MAX;
+        let mut decisions = Vec::new();
+        for policy in self.policies.iter_mut() {
+            let begin = Instant::now();
+            decisions.push(policy.decide(&view));
+            spent = spent.min(begin.elapsed().as_nanos() as u64);
+        }
         self.figures
             .plans_ns
             .push(spent / u64::from(setting.shape.layers));
+        let same = decisions.windows(2).all(|pair| pair[0] == pair[1]);
+        assert!(same, "second {second}: equal policies decided differently");
+        let Some(decision) = decisions.pop() else {
+            return;
+        };
         let Some(change) = decision.change else {
             return;
         };
--- a/crates/placement/src/bound.rs
+++ b/crates/placement/src/bound.rs
@@ -2,13 +2,15 @@
 //!
 //! Two facts give the bound.
 //!
-//! First, with a map fixed before the step and tokens that arrive independently, the loads of the
-//! ranks are independent Poisson variables whatever the map, and only their means depend on it. The
-//! chance that a Poisson variable stays below a level is log-concave in its mean, so the chance
-//! that all ranks stay below it is highest when the means are equal. Equal means therefore give the
-//! stochastically least highest load, and so the least mean and the least quantiles.
+//! First, with a map fixed before the step, tokens that arrive independently and replicas drawn at
+//! random by their shares, the loads of the ranks are independent Poisson variables whatever the
+//! map, and only their means depend on it. The chance that a Poisson variable stays below a level is
+//! log-concave in its mean, so the chance that all ranks stay below it is highest when the means are
+//! equal. Equal means therefore give the stochastically least highest load, and so the least mean
+//! and the least quantiles.
 //!
-//! Second, an expert can be on only so many ranks, which bounds the highest mean from below.
+//! Second, an expert can be on only so many ranks, which bounds the highest mean from below. This
+//! part compares with the mean time of the ranks only if all have the same speed.
 //!
 //! A slow rank may take any part of the load. It is credited with what it could take without being
 //! more than [`SLOW_CREDIT`] of the mean behind, and then ignored; the bound holds as long as it is
--- a/crates/placement/src/codec.rs
+++ b/crates/placement/src/codec.rs
@@ -14,12 +14,14 @@
 /// Most bits of a packed square root of a count.
 const WIDTH_BITS: u8 = 32;
 
-/// What one rank counted in one interval.
+/// What one rank counted in one interval. A switch of the map clears the counts and steps, so that
+/// a report belongs to one map.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
     /// Version of the map under which it counted.
     pub version: Version,
-    /// Number of the interval, counted by the rank.
+    /// Number of the interval: the group's step number divided by the length of an interval, so that
+    /// all ranks agree on it.
     pub interval: u32,
     /// The rank.
     pub rank: u16,
--- a/crates/placement/src/watch.rs
+++ b/crates/placement/src/watch.rs
@@ -4,12 +4,12 @@
 use crate::model::Model;
 
 /// Deviations by which one rank must be above an even load.
-const RANK_DEVIATIONS: f64 = 4.0;
+const RANK_DEVIATIONS: f64 = 5.0;
 /// Mean over the ranks of the squared deviations from an even load. It would be 1 for independent
 /// ranks; ranks that share hot experts deviate together.
-const MEAN_SQUARE: f64 = 2.3;
+const MEAN_SQUARE: f64 = 4.0;
 /// Deviations of the sum of squared changes of all experts' demand.
-const DRIFT_DEVIATIONS: f64 = 2.5;
+const DRIFT_DEVIATIONS: f64 = 1.5;
 /// Intervals for which a layer stays open to changes after noise last failed to explain its
 /// demand. Drift goes on for longer than one test shows it.
 const OPEN_INTERVALS: u32 = 20;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,5 +3,6 @@
 mod document;
 mod placement;
 mod placement_counts;
+mod rebalance;
 mod standins;
 mod type_parsing;
