--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -246,15 +246,18 @@
         let mut near: Vec<usize> = self.hosted[usize::from(step.rank)].clone();
         let from = self.find_slowest(step.expert);
         near.extend(&self.hosted[usize::from(from)]);
+        // The tokens of an expert with one replica can't be split.
+        near.retain(|e| self.draft.experts[*e].len() > 1);
+        near.extend(step.evicts);
         near.push(step.expert);
         near.sort_unstable();
         near.dedup();
-        let spreads = self.draft.spreads.clone();
-        let parts: Vec<(usize, Vec<Part>)> = near
+        let saved: Vec<(usize, Vec<Part>)> = near
             .iter()
             .map(|e| (*e, self.draft.experts[*e].clone()))
             .collect();
         let loads = self.draft.loads.clone();
+        let spreads = self.draft.spreads.clone();
         self.change_parts(step);
         for _ in 0..TRIAL_SWEEPS {
             for expert in &near {
@@ -262,7 +265,7 @@
             }
         }
         let time = self.time();
-        for (expert, held) in parts {
+        for (expert, held) in saved {
             self.draft.experts[expert] = held;
         }
         self.draft.loads = loads;
--- a/crates/placement/src/watch.rs
+++ b/crates/placement/src/watch.rs
@@ -9,10 +9,10 @@
 /// ranks; ranks that share hot experts deviate together.
 const MEAN_SQUARE: f64 = 4.0;
 /// Deviations of the sum of squared changes of all experts' demand.
-const DRIFT_DEVIATIONS: f64 = 1.5;
+const DRIFT_DEVIATIONS: f64 = 2.5;
 /// Intervals for which a layer stays open to changes after noise last failed to explain its
 /// demand. Drift goes on for longer than one test shows it.
-const OPEN_INTERVALS: u32 = 20;
+const OPEN_INTERVALS: u32 = 40;
 /// Intervals after which the demand is known well enough to measure changes against.
 const BASE_INTERVALS: u32 = 4;
 
