--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -29,6 +29,7 @@
 mod request_random;
 mod rollout;
 mod sample;
+mod rebalance;
 mod standins;
 mod store;
 mod subset_choice;
