Test the agents of a group against the stand-in

Change: four agents and the stand-in of the ranks run in the test's process. Guarded are mixed steps and switches without gain, a store outage during a switch, load commands before the fence is known, a failed load, and wrong settings. The stand-in also shows the skew that the first map would have had in the same steps. An agent forgets plans and coordinator when its group restarts as a whole.

Ruled out: a drifting demand in the test of the gain.

Conclusion: the shell keeps the promises of the machines under these faults; an agent that dies between a proposal and its decision is not tested here.

--- a/crates/standins/src/group.rs
+++ b/crates/standins/src/group.rs
@@ -131,6 +131,8 @@
     pub state: EngineState,
     /// The newest load command.
     pub load: Option<LoadView>,
+    /// Highest fencing number of a load command.
+    pub fencing: Fencing,
 }
 
 /// Answer of `POST /ranks/{rank}/record`.
@@ -245,6 +247,7 @@
     Ok(Json(RankView {
         state: rank.state,
         load: rank.load,
+        fencing: rank.fencing,
     }))
 }
 
--- a/src/agent/group/driver.rs
+++ b/src/agent/group/driver.rs
@@ -178,7 +178,7 @@
                 }
             }
             Input::Engine(view, asked) => self.note_view(&view, asked),
-            Input::Written(state) => self.handle(Event::Engine(state)),
+            Input::Written(state) => self.note_state(state),
             Input::Load(map, result) => {
                 self.fence.finish();
                 if let Err(error) = result {
@@ -304,8 +304,20 @@
         });
     }
 
+    fn note_state(&mut self, state: EngineState) {
+        if state.life != self.member.rank().state().life {
+            // The group restarted as a whole; versions and ballots begin again.
+            log::warn!(group:% = self.parts.settings.name, life:% = state.life; "group_restarted");
+            self.planner.reset();
+            self.coordinator = None;
+            self.loading = None;
+            self.ready = false;
+        }
+        self.handle(Event::Engine(state));
+    }
+
     fn note_view(&mut self, view: &RankView, asked: Time) {
-        self.handle(Event::Engine(view.state));
+        self.note_state(view.state);
         let Some(loading) = self.loading.filter(|loading| loading.since < asked) else {
             return;
         };
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one file a feature.
 
 mod document;
+mod group_shell;
 mod history;
 mod lease;
 mod membership;
