--- a/crates/standins/src/group.rs
+++ b/crates/standins/src/group.rs
@@ -297,6 +297,12 @@
         ranks.totals.rejected += 1;
         return Err(StatusCode::CONFLICT);
     }
+    let loading = rank.load.is_some_and(|load| {
+        load.map == id && load.phase == LoadPhase::Loading || rank.state.staged == Some(id)
+    });
+    if loading {
+        return Ok(StatusCode::ACCEPTED);
+    }
     if rank.state.needs_staged() {
         return Err(StatusCode::CONFLICT);
     }
--- a/src/agent/group/driver.rs
+++ b/src/agent/group/driver.rs
@@ -73,6 +73,8 @@
     planner: Planner,
     timer: Option<Time>,
     loading: Option<Loading>,
+    /// The map of a load command that the engine hasn't answered.
+    commanding: Option<MapRef>,
     coordinator: Option<(Ballot, RankIndex)>,
     /// A switch can begin; false while one is under way.
     ready: bool,
@@ -119,6 +121,7 @@
             planner,
             timer: None,
             loading: None,
+            commanding: None,
             coordinator: None,
             ready: false,
             proposed: false,
@@ -181,6 +184,7 @@
             Input::Written(state) => self.note_state(state),
             Input::Load(map, result) => {
                 self.fence.finish();
+                self.commanding = None;
                 if let Err(error) = result {
                     log::warn!(map:% = map, error:% = error; "load_refused");
                     self.fail_load(map, LoadFault::Failed);
@@ -267,12 +271,18 @@
     }
 
     fn load(&mut self, map: MapRef, fencing: Fencing, plan: Vec<u8>) {
+        let loading = self.loading.map(|loading| loading.map);
+        if [self.commanding, loading].contains(&Some(map)) {
+            // The action repeats until the load ends.
+            return;
+        }
         if let Err(refusal) = self.fence.admit(fencing) {
             log::warn!(map:% = map, fencing:% = fencing, reason = refusal.as_str(); "load_fenced");
             self.fail_load(map, refusal.into());
             return;
         }
         self.loading = None;
+        self.commanding = Some(map);
         let engine = Arc::clone(&self.parts.engine);
         let inbox = self.parts.port.inbox.clone();
         tokio::spawn(async move {
@@ -355,9 +365,10 @@
                 self.planner.commit(switch.map);
                 self.last = format!("map {} committed for step {}", switch.map, switch.step);
             }
-            Outcome::Aborted { map, reason } => {
+            Outcome::Aborted { map, reason, rank } => {
                 log::warn!(
-                    group:% = group, map:% = map, outcome = "aborted", reason = reason.as_str();
+                    group:% = group, map:% = map, outcome = "aborted", reason = reason.as_str(),
+                    rank = rank.map_or("none".to_owned(), |rank| rank.to_string());
                     "switch_ended"
                 );
                 self.parts.agent.count_group(reason.as_str());
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one file a feature.
 
 mod document;
+mod fence;
 mod group_shell;
 mod history;
 mod lease;
@@ -11,4 +12,5 @@
 mod promotion;
 mod standins;
 mod store;
+mod switch;
 mod type_parsing;
