--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod placement_counts;
 mod promotion;
+mod rebalance;
 mod standins;
 mod store;
 mod switch;
