--- a/crates/standins/src/group.rs
+++ b/crates/standins/src/group.rs
@@ -131,6 +131,8 @@
     pub state: EngineState,
     /// The newest load command.
     pub load: Option<LoadView>,
+    /// Highest fencing number of a load command.
+    pub fencing: Fencing,
 }
 
 /// Answer of `POST /ranks/{rank}/record`.
@@ -245,6 +247,7 @@
     Ok(Json(RankView {
         state: rank.state,
         load: rank.load,
+        fencing: rank.fencing,
     }))
 }
 
@@ -294,6 +297,12 @@
         ranks.totals.rejected += 1;
         return Err(StatusCode::CONFLICT);
     }
+    let loading = rank.load.is_some_and(|load| {
+        load.map == id && load.phase == LoadPhase::Loading || rank.state.staged == Some(id)
+    });
+    if loading {
+        return Ok(StatusCode::ACCEPTED);
+    }
     if rank.state.needs_staged() {
         return Err(StatusCode::CONFLICT);
     }
--- a/src/agent/group/driver.rs
+++ b/src/agent/group/driver.rs
@@ -73,6 +73,8 @@
     planner: Planner,
     timer: Option<Time>,
     loading: Option<Loading>,
+    /// The map of a load command that the engine hasn't answered.
+    commanding: Option<MapRef>,
     coordinator: Option<(Ballot, RankIndex)>,
     /// A switch can begin; false while one is under way.
     ready: bool,
@@ -119,6 +121,7 @@
             planner,
             timer: None,
             loading: None,
+            commanding: None,
             coordinator: None,
             ready: false,
             proposed: false,
@@ -178,9 +181,10 @@
                 }
             }
             Input::Engine(view, asked) => self.note_view(&view, asked),
-            Input::Written(state) => self.handle(Event::Engine(state)),
+            Input::Written(state) => self.note_state(state),
             Input::Load(map, result) => {
                 self.fence.finish();
+                self.commanding = None;
                 if let Err(error) = result {
                     log::warn!(map:% = map, error:% = error; "load_refused");
                     self.fail_load(map, LoadFault::Failed);
@@ -267,12 +271,18 @@
     }
 
     fn load(&mut self, map: MapRef, fencing: Fencing, plan: Vec<u8>) {
+        let loading = self.loading.map(|loading| loading.map);
+        if [self.commanding, loading].contains(&Some(map)) {
+            // The action repeats until the load ends.
+            return;
+        }
         if let Err(refusal) = self.fence.admit(fencing) {
             log::warn!(map:% = map, fencing:% = fencing, reason = refusal.as_str(); "load_fenced");
             self.fail_load(map, refusal.into());
             return;
         }
         self.loading = None;
+        self.commanding = Some(map);
         let engine = Arc::clone(&self.parts.engine);
         let inbox = self.parts.port.inbox.clone();
         tokio::spawn(async move {
@@ -304,8 +314,20 @@
         });
     }
 
+    fn note_state(&mut self, state: EngineState) {
+        if state.life != self.member.rank().state().life {
+            // The group restarted as a whole; versions and ballots begin again.
+            log::warn!(group:% = self.parts.settings.name, life:% = state.life; "group_restarted");
+            self.planner.reset();
+            self.coordinator = None;
+            self.loading = None;
+            self.ready = false;
+        }
+        self.handle(Event::Engine(state));
+    }
+
     fn note_view(&mut self, view: &RankView, asked: Time) {
-        self.handle(Event::Engine(view.state));
+        self.note_state(view.state);
         let Some(loading) = self.loading.filter(|loading| loading.since < asked) else {
             return;
         };
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,6 +12,8 @@
 mod freeze_wake;
 mod graceful_drain;
 mod half_cut_link;
+mod fence;
+mod group_shell;
 mod history;
 mod lease;
 mod ledger;
