--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -289,6 +289,7 @@
         let wish = Wish {
             prefix: self.forward.prefix,
             avoid,
+            ..Wish::default()
         };
         let now = self.entry.clock.now();
         let event = match self.entry.fleet.choose(&self.spec.service, &wish, now) {
