Keep the timeout of streams apart from their cancel

Cause: hang_up_cancels_the_work_at_the_engine passed with the hang-up unnoticed, because the stream's timeout of 30 s cancelled it within the 40 s that the test waits.

Change: streams in the sample document may last 60 s.

Before and after, with the hang-up unnoticed in a scratch copy: one of the two tests of hang-ups failed; now both fail.

--- a/tests/integration/sample.rs
+++ b/tests/integration/sample.rs
@@ -15,6 +15,9 @@
 }
 
 /// Document with one plain and one model service; `organisations` are pairs of name and token.
+///
+/// A stream may last longer than a test waits for an event, so that its timeout can't be taken for
+/// a cancel.
 pub fn build_document(organisations: &[(&str, &str)]) -> String {
     let mut text =
         "environment = \"test\"\n[[zones]]\nname = \"oyo\"\nregion = \"sw\"\n".to_owned();
@@ -42,8 +45,8 @@
     text += "[[services.routes]]\nmethod = \"GET\"\npath = \"/ladders\"\nidempotent = true\n\
              timeout_ms = 20000\nstall_ms = 10000\nbody_limit = \"4KiB\"\n";
     text += "[[services]]\nname = \"pool\"\nkind = \"model\"\nmodel = \"writer\"\n\
-             version = \"r1\"\ndrain_ms = 30000\nqueue_limit = 64\nconcurrency = 8\n\
+             version = \"r1\"\ndrain_ms = 60000\nqueue_limit = 64\nconcurrency = 8\n\
              [[services.routes]]\nmethod = \"POST\"\npath = \"/drafts\"\nidempotent = true\n\
-             timeout_ms = 30000\nstall_ms = 10000\nbody_limit = \"64KiB\"\n";
+             timeout_ms = 60000\nstall_ms = 10000\nbody_limit = \"64KiB\"\n";
     text
 }
