Plan again after a plan was not taken or aborted

Cause: the placement policy notes its plan as done when it decides. A plan that was not taken for want of the lease, or whose switch was aborted, was therefore not made again until the demand changed; the imbalance stayed.

Change: the agent starts the policy anew in both cases. Group links send keep-alive packets more rarely with more ranks.

Ruled out: telling the policy of the outcome, which needs another method on every policy for the same effect.

--- a/crates/measure/src/links.rs
+++ b/crates/measure/src/links.rs
@@ -77,7 +77,7 @@
     let keys = Keys::load(&file("ca.pem"), &file("peer.pem"), &file("peer.key"));
     let keys = keys.map_err(|e| e.to_string())?;
     let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let server = transport::listen(local, &keys).map_err(|e| e.to_string())?;
+    let server = transport::listen(local, &keys, 0).map_err(|e| e.to_string())?;
     let address = server.local_addr().map_err(|e| e.to_string())?;
     tokio::spawn(serve(server));
     let client = transport::dial_only(local, &keys).map_err(|e| e.to_string())?;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -156,15 +156,15 @@
     config
 }
 
-/// Binds an endpoint that accepts peers and can connect to others.
+/// Binds an endpoint that accepts peers and can connect to that many others.
 ///
 /// # Errors
 ///
 /// Returns why the keys can't be used or the address can't be bound.
-pub fn listen(address: SocketAddr, keys: &Keys) -> Result<Endpoint, TransportError> {
+pub fn listen(address: SocketAddr, keys: &Keys, peers: usize) -> Result<Endpoint, TransportError> {
     let mut endpoint = Endpoint::server(keys.to_server()?, address)
         .map_err(|e| TransportError::Bind(address, e.to_string()))?;
-    endpoint.set_default_client_config(keys.to_client(1)?);
+    endpoint.set_default_client_config(keys.to_client(peers)?);
     Ok(endpoint)
 }
 
--- a/src/agent/group/driver.rs
+++ b/src/agent/group/driver.rs
@@ -372,6 +372,7 @@
                     rank = rank;
                     "switch_ended"
                 );
+                self.planner.abandon();
                 self.parts.agent.count_group(reason.as_str());
                 self.last = format!("map {map} aborted: {reason}, rank {rank}");
             }
@@ -527,6 +528,7 @@
                     "plan_not_taken"
                 );
                 self.last = format!("map {} not taken: {obstacle}", plan.id);
+                self.planner.abandon();
             }
         }
         self.carry_out(actions);
--- a/src/agent/group/planner.rs
+++ b/src/agent/group/planner.rs
@@ -141,6 +141,13 @@
         }
     }
 
+    /// Gives up a plan that was not taken or whose switch was aborted. The policy has noted the plan
+    /// as done and would wait for the demand to change again, so it starts anew.
+    pub(super) fn abandon(&mut self) {
+        self.pending = None;
+        self.policy = self.kind.build(self.price);
+    }
+
     /// Puts a map in force.
     pub(super) fn install(&mut self, id: MapRef, map: ExpertMap) {
         let counts = match self.inforce.take() {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -239,7 +239,8 @@
     let common = settings.common.clone();
     let active = Active::start(&common).map_err(AgentError::Document)?;
     let keys = keys::load(&common).map_err(AgentError::Transport)?;
-    let endpoint = transport::listen(common.listen, &keys).map_err(AgentError::Transport)?;
+    let ranks = settings.group.as_ref().map_or(0, |group| group.peers.len());
+    let endpoint = transport::listen(common.listen, &keys, ranks).map_err(AgentError::Transport)?;
     let agent = Agent::new(settings, active);
     tokio::spawn(keys::watch(
         common.clone(),
