Use the store's document functions in the operator's commands

Change: the commands call siskinbend_store::documents; document resolve tells what became of a transaction; the flags of the overhead experiment are built in a function of their own.

Ruled out: the transaction in the history, because the row of the version is the one place that decides.

Conclusion: one place runs a promotion.

--- a/crates/measure/src/overhead/site.rs
+++ b/crates/measure/src/overhead/site.rs
@@ -152,6 +152,37 @@
     Ok(())
 }
 
+/// Settings that all processes of the site share.
+struct Common {
+    /// Folder of the keys.
+    keys: String,
+    /// File of the document.
+    document: String,
+}
+
+impl Common {
+    fn list_flags(&self, role: &str, name: &str, listen: &str, admin: &str) -> Vec<String> {
+        let Common { keys, document } = self;
+        let pairs = [
+            ("--name", name),
+            ("--zone", "oyo"),
+            ("--listen", listen),
+            ("--admin", admin),
+            ("--ca", &format!("{keys}/ca.pem")),
+            ("--cert", &format!("{keys}/peer.pem")),
+            ("--key", &format!("{keys}/peer.key")),
+            ("--document", document),
+            ("--log", "warn"),
+            ("--threads", "2"),
+        ];
+        let flags = pairs.iter().flat_map(|(flag, value)| [*flag, *value]);
+        std::iter::once(role)
+            .chain(flags)
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
 impl Site {
     /// Starts everything and waits until the entry can reach all agents.
     pub(super) fn start(seed: u64) -> Result<Self, String> {
@@ -175,34 +206,7 @@
             .map(|port| format!("127.0.0.1:{port}"))
             .collect();
         let document = document.display().to_string();
-        let flags = |role: &str, name: &str, listen: &str, admin: &str| {
-            let ca = format!("{keys}/ca.pem");
-            let cert = format!("{keys}/peer.pem");
-            let key = format!("{keys}/peer.key");
-            to_strings(&[
-                role,
-                "--name",
-                name,
-                "--zone",
-                "oyo",
-                "--listen",
-                listen,
-                "--admin",
-                admin,
-                "--ca",
-                &ca,
-                "--cert",
-                &cert,
-                "--key",
-                &key,
-                "--document",
-                &document,
-                "--log",
-                "warn",
-                "--threads",
-                "2",
-            ])
-        };
+        let common = Common { keys, document };
         let backends = [
             ("desk", &plain),
             ("desk", &plain),
@@ -211,11 +215,11 @@
         ];
         let mut agents = Vec::new();
         let (listen, admin) = (&addresses[0], &addresses[1]);
-        let mut entry_flags = flags("entry", "entry-1", listen, admin);
+        let mut entry_flags = common.list_flags("entry", "entry-1", listen, admin);
         for (n, (service, backend)) in backends.into_iter().enumerate() {
             let name = format!("agent-{n}");
             let (own, own_admin) = (&addresses[2 * n + 2], &addresses[2 * n + 3]);
-            let mut arguments = flags("agent", &name, own, own_admin);
+            let mut arguments = common.list_flags("agent", &name, own, own_admin);
             let url = format!("http://{backend}");
             arguments.extend(to_strings(&["--service", service, "--backend", &url]));
             agents.push(Process::start("siskinbend", &arguments)?);
--- a/src/command/document.rs
+++ b/src/command/document.rs
@@ -12,24 +12,22 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-use siskinbend_control::promotion::Action;
 use siskinbend_control::promotion::Author;
 use siskinbend_control::promotion::Ending;
 use siskinbend_control::promotion::Entry;
 use siskinbend_control::promotion::Environment;
-use siskinbend_control::promotion::Event;
-use siskinbend_control::promotion::Promotion;
 use siskinbend_control::promotion::Refusal;
 use siskinbend_control::promotion::Request;
+use siskinbend_control::promotion::Resolution;
 use siskinbend_control::table::StoreError;
 use siskinbend_control::table::TransactionId;
 use siskinbend_control::version::Content;
+use siskinbend_control::version::FetchError;
 use siskinbend_control::version::Stamp;
 use siskinbend_document::Document;
 use siskinbend_document::diff_texts;
 use siskinbend_store::Client;
-use siskinbend_store::Objects;
-use siskinbend_store::Table;
+use siskinbend_store::documents;
 use siskinbend_types::Digest;
 use siskinbend_types::Version;
 
@@ -139,6 +137,19 @@
         /// Where documents are read:
         read: ReadFlags,
     },
+    /// Tells what became of a change whose outcome was not known
+    #[bpaf(command)]
+    Resolve {
+        #[bpaf(external(read_flags))]
+        /// Where documents are read:
+        read: ReadFlags,
+        /// Version that the change would have made
+        #[bpaf(argument("N"))]
+        version: u64,
+        /// Id of the change's transaction
+        #[bpaf(argument("ID"))]
+        transaction: String,
+    },
     /// Prints what a promotion would change in production
     #[bpaf(command)]
     Diff {
@@ -165,10 +176,8 @@
     Absent(&'static str),
     /// {0} has no version {1}
     NoVersion(&'static str, Version),
-    /// the row {0} can't be understood
-    Malformed(String),
-    /// the content of version {0} is missing in the object store
-    NoContent(Version),
+    /// the content of version {0} can't be read: {1}
+    Content(Version, FetchError),
 }
 
 impl CommandError {
@@ -199,6 +208,11 @@
         } => undo(&write, &environment, target).await,
         DocumentCommand::Show { read, version } => show(&read, version).await,
         DocumentCommand::History { read } => list_history(&read).await,
+        DocumentCommand::Resolve {
+            read,
+            version,
+            transaction,
+        } => resolve(&read, version, &transaction).await,
         DocumentCommand::Diff { platform } => diff(&platform).await,
     };
     match result {
@@ -270,20 +284,11 @@
         who: SmolStr::new(&write.operator),
         when: format_seconds(),
     };
-    let (mut promotion, mut action) = Promotion::start(author, request, Version(write.floor));
-    let ending = loop {
-        let event = match action {
-            Action::Put(digest, text) => {
-                let content = bytes::Bytes::from(text.as_bytes().to_vec());
-                Event::Put(store.put(&digest, content).await)
-            }
-            Action::Read(key) => Event::Read(store.read(&key).await),
-            Action::Commit(commit) => Event::Commit(store.commit(&commit).await),
-            Action::End(ending) => break ending,
-        };
-        action = promotion.handle(event);
-    };
-    report(write, &store, environment, ending).await
+    let id = author.id.clone();
+    let floor = Version(write.floor);
+    let table: &Client = &store;
+    let ending = documents::run_promotion(table, table, author, request, floor).await;
+    report(write, &store, environment, &id, ending).await
 }
 
 /// Seconds since 1970 by the operator's clock; only shown, never compared.
@@ -298,6 +303,7 @@
     write: &WriteFlags,
     store: &Client,
     environment: Environment,
+    id: &TransactionId,
     ending: Ending,
 ) -> Result<u8, CommandError> {
     let name = environment.as_str();
@@ -307,15 +313,10 @@
                 "accepted environment={name} version={} digest={}",
                 stamp.version, stamp.digest
             );
-            let text = read_content(store, stamp).await?;
-            offer::offer(
-                &write.offer,
-                Content {
-                    stamp,
-                    text: text.into(),
-                },
-            )
-            .await;
+            match read_content(store, stamp).await {
+                Ok(text) => offer::offer(&write.offer, Content { stamp, text }).await,
+                Err(error) => println!("no agent was told: {error}"),
+            }
             Ok(0)
         }
         Ending::Refused(refusal) => {
@@ -331,10 +332,12 @@
             Ok(REFUSED)
         }
         Ending::NotKnown(stamp) => {
+            let version = stamp.version;
             println!(
-                "not known yet environment={name} version={} digest={}; to find out, run: \
-                 siskinbend document history --environment {name}",
-                stamp.version, stamp.digest
+                "not known yet environment={name} version={version} digest={}; to find out, run: \
+                 siskinbend document resolve --environment {name} --version {version} \
+                 --transaction {id}",
+                stamp.digest
             );
             Ok(NOT_KNOWN)
         }
@@ -372,7 +375,7 @@
     winner: &Entry,
 ) {
     let old = match write.replaces {
-        0 => Ok(String::new()),
+        0 => Ok(Arc::from("")),
         version => read_version(store, environment, Version(version)).await,
     };
     if let (Ok(old), Ok(new)) = (old, read_content(store, winner.stamp).await) {
@@ -380,35 +383,45 @@
     }
 }
 
-async fn read_content(store: &Client, stamp: Stamp) -> Result<String, CommandError> {
-    let bytes = store
-        .get(&stamp.digest)
-        .await
-        .map_err(CommandError::Store)?;
-    let text = bytes.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
-    text.filter(|text| Document::digest(text) == stamp.digest)
-        .ok_or(CommandError::NoContent(stamp.version))
+async fn read_content(store: &Client, stamp: Stamp) -> Result<Arc<str>, CommandError> {
+    let text = documents::fetch_text(store, &stamp.digest).await;
+    text.map_err(|error| CommandError::Content(stamp.version, error))
 }
 
 async fn read_entry(store: &Client, environment: Environment) -> Result<Entry, CommandError> {
-    let key = environment.key();
-    let row = store.read(&key).await.map_err(CommandError::Store)?;
-    let row = row.ok_or(CommandError::Absent(environment.as_str()))?;
-    Entry::decode(&row.value).ok_or_else(|| CommandError::Malformed(key.to_string()))
+    let entry = documents::read_current(store, environment).await;
+    let entry = entry.map_err(CommandError::Store)?;
+    entry.ok_or(CommandError::Absent(environment.as_str()))
 }
 
 async fn read_version(
     store: &Client,
     environment: Environment,
     version: Version,
-) -> Result<String, CommandError> {
-    let key = environment.history_key(version);
-    let row = store.read(&key).await.map_err(CommandError::Store)?;
-    let row = row.ok_or(CommandError::NoVersion(environment.as_str(), version))?;
-    let entry = Entry::decode(&row.value).ok_or(CommandError::Malformed(key.to_string()))?;
+) -> Result<Arc<str>, CommandError> {
+    let entry = documents::read_version(store, environment, version).await;
+    let entry = entry.map_err(CommandError::Store)?;
+    let entry = entry.ok_or(CommandError::NoVersion(environment.as_str(), version))?;
     read_content(store, entry.stamp).await
 }
 
+async fn resolve(read: &ReadFlags, version: u64, id: &str) -> Result<u8, CommandError> {
+    let store = connect(&read.platform)?;
+    let environment = parse_environment(&read.environment)?;
+    let (version, id) = (Version(version), TransactionId::from(id));
+    let resolution = documents::resolve_promotion(store.as_ref(), environment, version, &id).await;
+    let (answer, status) = match resolution.map_err(CommandError::Store)? {
+        Resolution::Accepted => ("yes: this transaction made the version", 0),
+        Resolution::Refused => ("no: another transaction made the version", REFUSED),
+        Resolution::Open => (
+            "not known yet: the version doesn't exist; ask again",
+            NOT_KNOWN,
+        ),
+    };
+    println!("{answer}");
+    Ok(status)
+}
+
 async fn show(read: &ReadFlags, version: Option<u64>) -> Result<u8, CommandError> {
     let store = connect(&read.platform)?;
     let environment = parse_environment(&read.environment)?;
@@ -431,19 +444,13 @@
 async fn list_history(read: &ReadFlags) -> Result<u8, CommandError> {
     let store = connect(&read.platform)?;
     let environment = parse_environment(&read.environment)?;
-    let prefix = environment.history_prefix();
-    let rows = store
-        .scan(&prefix, HISTORY_ROWS)
-        .await
-        .map_err(CommandError::Store)?;
-    for row in rows {
-        match Entry::decode(&row.value) {
-            Some(entry) => println!(
-                "version={} digest={} who={} when={} transaction={}",
-                entry.stamp.version, entry.stamp.digest, entry.who, entry.when, row.writer
-            ),
-            None => println!("row {} can't be understood", row.key),
-        }
+    let entries = documents::list_history(store.as_ref(), environment, HISTORY_ROWS).await;
+    for entry in entries.map_err(CommandError::Store)? {
+        let Stamp { version, digest } = entry.stamp;
+        println!(
+            "version={version} digest={digest} who={} when={}",
+            entry.who, entry.when
+        );
     }
     Ok(0)
 }
@@ -454,7 +461,7 @@
     let new = read_content(&store, trial.stamp).await?;
     let old = match read_entry(&store, Environment::Production).await {
         Ok(entry) => read_content(&store, entry.stamp).await?,
-        Err(CommandError::Absent(_)) => String::new(),
+        Err(CommandError::Absent(_)) => Arc::from(""),
         Err(error) => return Err(error),
     };
     print!("{}", diff_texts(&old, &new));
