--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -58,6 +59,7 @@
 struct Open {
     attempt: Attempt,
     agent: AgentId,
+    from: SocketAddr,
     sender: Sender,
     receiver: Receiver,
     sent: Time,
@@ -230,6 +232,7 @@
     fn observe(&self, status: &Status, now: Time) {
         if let Some(open) = &self.open {
             self.entry.fleet.observe(&open.agent, status, now);
+            self.entry.spread.hear(open.from, status.newest);
         }
     }
 
@@ -313,10 +316,13 @@
             );
         }
         let stream = match find_reachable(&self.entry, &target.agent, self.spec.idempotent).await {
-            Some(connection) => connection.open_bi().await.ok(),
+            Some(connection) => {
+                let from = connection.remote_address();
+                connection.open_bi().await.ok().map(|stream| (from, stream))
+            }
             None => None,
         };
-        let Some((send, receive)) = stream else {
+        let Some((from, (send, receive))) = stream else {
             self.failed = Some(Reason::LinkLost);
             self.events.push_back(Event::NotSent(attempt));
             return;
@@ -330,6 +336,7 @@
         self.open = Some(Open {
             attempt,
             agent: target.agent,
+            from,
             sender,
             receiver: Receiver::new(Some(self.spec.id), receive),
             sent: now,
