Spare the timer for each chunk

Change: the driver keeps one alarm that may ring early and is set again only then; a chunk waits with a timer only if the caller doesn't keep up.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
 
 use siskinbend_types::Reason;
@@ -94,6 +95,18 @@
         }
     }
 
+    /// Sends a part of the body if the caller keeps up; gives it back otherwise.
+    pub(super) fn try_chunk(&mut self, bytes: Bytes) -> Result<(), Bytes> {
+        let Some(body) = &self.body else {
+            return Ok(());
+        };
+        match body.try_send(Ok(Part::Data(bytes))) {
+            Err(TrySendError::Full(Ok(Part::Data(bytes)))) => Err(bytes),
+            // A caller that has gone is noticed by `wait_gone`.
+            _ => Ok(()),
+        }
+    }
+
     /// Completes the body.
     pub(super) async fn send_end(&mut self) {
         if let Some(body) = self.body.take() {
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -9,6 +9,7 @@
 use axum::body::Bytes;
 use quinn::Connection;
 use smol_str::SmolStr;
+use tokio::time::Sleep;
 
 use siskinbend_request::Action;
 use siskinbend_request::AttemptRef;
@@ -91,6 +92,8 @@
     /// A chosen agent that counts as busy although nothing was sent yet.
     chosen: Option<AgentId>,
     timer: Option<Time>,
+    /// Wakes the driver at `timer` or before.
+    alarm: Option<Pin<Box<Sleep>>>,
     held: Held,
     /// The answer of a keyed call so far, unless it is too large to be stored.
     kept: Option<StoredAnswer>,
@@ -117,6 +120,7 @@
         pending: None,
         chosen: None,
         timer: None,
+        alarm: None,
         held: Held::Nothing,
         kept: None,
         gone: false,
@@ -145,18 +149,21 @@
 
     /// Waits for the next thing that happens.
     async fn wait(&mut self) -> Event {
-        let timer = self.timer.map(|at| self.entry.clock.to_instant(at));
-        let message = {
+        let message = loop {
+            self.set_alarm();
             let open = self.open.as_mut();
             tokio::select! {
-                message = receive(open) => message,
+                message = receive(open) => break message,
                 event = settle(self.pending.as_mut()) => {
                     self.pending = None;
                     return event;
                 }
-                () = sleep_until(timer) => {
-                    self.timer = None;
-                    return Event::Timer;
+                () = ring(self.alarm.as_mut()) => {
+                    self.alarm = None;
+                    if self.timer.is_some_and(|at| at <= self.entry.clock.now()) {
+                        self.timer = None;
+                        return Event::Timer;
+                    }
                 }
                 () = self.answer.wait_gone(), if !self.gone => {
                     self.gone = true;
@@ -167,6 +174,20 @@
         self.read(message)
     }
 
+    /// Makes the alarm ring at the call's timer or before. Each chunk moves the timer; an alarm that
+    /// rings too early and is set again costs less than moving it each time.
+    fn set_alarm(&mut self) {
+        let Some(at) = self.timer else { return };
+        let at = self.entry.clock.to_instant(at);
+        if self
+            .alarm
+            .as_ref()
+            .is_none_or(|alarm| alarm.deadline() > at)
+        {
+            self.alarm = Some(Box::pin(tokio::time::sleep_until(at)));
+        }
+    }
+
     /// Turns a message of the open attempt into an event.
     fn read(&mut self, message: Result<Message, FrameError>) -> Event {
         let now = self.entry.clock.now();
@@ -464,17 +485,24 @@
                 self.answer.send_head(&head);
             }
             Held::Chunk(bytes) => {
-                // A caller that never reads must not hold the request beyond its deadline.
-                let deadline = self.entry.clock.to_instant(self.spec.deadline);
-                let sending = self.answer.send_chunk(bytes);
-                if tokio::time::timeout_at(deadline, sending).await.is_err() {
-                    self.events.push_back(Event::CallerGone);
+                if let Err(bytes) = self.answer.try_chunk(bytes) {
+                    self.send_slowly(bytes).await;
                 }
             }
             Held::Nothing => {}
         }
     }
 
+    /// Waits for a caller that reads slowly, but not beyond the deadline: a caller that never reads
+    /// must not hold the request.
+    async fn send_slowly(&mut self, bytes: Bytes) {
+        let deadline = self.entry.clock.to_instant(self.spec.deadline);
+        let sending = self.answer.send_chunk(bytes);
+        if tokio::time::timeout_at(deadline, sending).await.is_err() {
+            self.events.push_back(Event::CallerGone);
+        }
+    }
+
     async fn end(&mut self) {
         self.answer.send_end().await;
         self.note_outcome(Outcome::Answered, None);
@@ -559,9 +587,10 @@
     }
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
+/// Waits for the alarm, or forever if there is none.
+async fn ring(alarm: Option<&mut Pin<Box<Sleep>>>) {
+    match alarm {
+        Some(alarm) => alarm.await,
         None => std::future::pending().await,
     }
 }
