--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -110,16 +110,16 @@
     /// Completes the body.
     pub(super) async fn send_end(&mut self) {
         if let Some(body) = self.body.take() {
-            // As above.
+            // A caller that has gone needs no end.
             let _ = body.send(Ok(Part::End)).await;
         }
     }
 
     /// Aborts the body, so that the caller can see that it is not complete.
-    pub(super) async fn cut(&mut self, reason: Reason) {
+    pub(super) fn cut(&mut self, reason: Reason) {
         if let Some(body) = self.body.take() {
-            // As above.
-            let _ = body.send(Err(CutError::Cut(reason))).await;
+            // If the caller doesn't keep up, the dropped sender ends the body with an error too.
+            let _ = body.try_send(Err(CutError::Cut(reason)));
         }
     }
 
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -1,5 +1,8 @@
 //! Carries out the actions of one call and feeds it with what happens.
 
+mod caller;
+mod keyed;
+
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -14,8 +17,6 @@
 use siskinbend_request::Action;
 use siskinbend_request::AttemptRef;
 use siskinbend_request::Call;
-use siskinbend_request::ClaimRow;
-use siskinbend_request::ClaimState;
 use siskinbend_request::Event;
 use siskinbend_request::Spec;
 use siskinbend_request::StoredAnswer;
@@ -24,7 +25,6 @@
 use siskinbend_routing::Wish;
 use siskinbend_types::AgentId;
 use siskinbend_types::Attempt;
-use siskinbend_types::Outcome;
 use siskinbend_types::Priority;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
@@ -41,7 +41,6 @@
 use super::claims;
 use super::fleet::Budget;
 use super::fleet::Fleet;
-use super::problem;
 use crate::exchange;
 use crate::limits;
 
@@ -418,133 +417,6 @@
             self.events.push_back(event);
         }
     }
-
-    /// Asks the agent of a claim what became of its attempt.
-    fn lookup(&mut self, row: &ClaimRow) {
-        let named = AttemptRef {
-            id: row.id,
-            attempt: row.attempt,
-            incarnation: row.incarnation,
-            window: row.window,
-        };
-        let question = Message::Lookup(named, row.organisation.clone());
-        let (entry, agent) = (Arc::clone(&self.entry), row.agent.clone());
-        self.pending = Some(Box::pin(async move {
-            let answer = match entry.fleet.reach(&agent).await {
-                Some(connection) => exchange::ask(&connection, named.id, &question).await,
-                None => None,
-            };
-            match answer {
-                Some(Message::Found(found)) => Event::LookedUp(found),
-                _ => Event::LookupFailed,
-            }
-        }));
-    }
-
-    /// Writes the outcome to the claim row while the caller already has its answer.
-    fn record(&mut self, mut row: ClaimRow, replaces: Option<u64>) {
-        if row.state == ClaimState::Answered(None) {
-            row.state = ClaimState::Answered(self.kept.take());
-        }
-        let entry = Arc::clone(&self.entry);
-        self.entry.requests.spawn(async move {
-            claims::record(entry.store.as_deref(), &row, replaces).await;
-        });
-    }
-
-    /// Keeps the answer of a keyed call while it is small enough to be stored.
-    fn keep(&mut self) {
-        match &self.held {
-            Held::Head(head) if self.spec.key.is_some() => {
-                self.kept = Some(StoredAnswer {
-                    status: head.status,
-                    content_type: head.content_type.clone(),
-                    body: Vec::new(),
-                });
-            }
-            Held::Chunk(bytes) => {
-                let room = limits::KEPT_ANSWER_BYTES.checked_sub(bytes.len());
-                self.kept = self
-                    .kept
-                    .take()
-                    .filter(|k| room.is_some_and(|r| k.body.len() <= r));
-                if let Some(kept) = &mut self.kept {
-                    kept.body.extend_from_slice(bytes);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    async fn pass(&mut self) {
-        self.keep();
-        match std::mem::replace(&mut self.held, Held::Nothing) {
-            Held::Head(head) => {
-                let latency = self.entry.clock.now().since(self.started);
-                self.entry.metrics.latency.observe(latency.as_secs_f64());
-                self.answer.send_head(&head);
-            }
-            Held::Chunk(bytes) => {
-                if let Err(bytes) = self.answer.try_chunk(bytes) {
-                    self.send_slowly(bytes).await;
-                }
-            }
-            Held::Nothing => {}
-        }
-    }
-
-    /// Waits for a caller that reads slowly, but not beyond the deadline: a caller that never reads
-    /// must not hold the request.
-    async fn send_slowly(&mut self, bytes: Bytes) {
-        let deadline = self.entry.clock.to_instant(self.spec.deadline);
-        let sending = self.answer.send_chunk(bytes);
-        if tokio::time::timeout_at(deadline, sending).await.is_err() {
-            self.events.push_back(Event::CallerGone);
-        }
-    }
-
-    async fn end(&mut self) {
-        self.answer.send_end().await;
-        self.note_outcome(Outcome::Answered, None);
-    }
-
-    fn replay(&mut self, stored: &StoredAnswer) {
-        let mut answer = http::Response::new(axum::body::Body::from(stored.body.clone()));
-        if let Ok(status) = http::StatusCode::from_u16(stored.status) {
-            *answer.status_mut() = status;
-        }
-        if let Ok(value) = http::HeaderValue::from_str(&stored.content_type) {
-            answer
-                .headers_mut()
-                .insert(http::header::CONTENT_TYPE, value);
-        }
-        self.answer.send_whole(answer);
-        self.note_outcome(Outcome::Answered, None);
-    }
-
-    async fn fail(&mut self, outcome: Outcome, reason: Reason) {
-        if self.answer.has_begun() {
-            self.answer.cut(reason).await;
-        } else {
-            self.answer
-                .send_whole(problem::build(self.spec.id, outcome, reason));
-        }
-        self.entry.metrics.count_refusal(reason);
-        self.note_outcome(outcome, Some(reason));
-    }
-
-    fn note_outcome(&self, outcome: Outcome, reason: Option<Reason>) {
-        self.entry
-            .metrics
-            .count_request(self.spec.service.as_str(), outcome);
-        let latency = self.entry.clock.now().since(self.started);
-        log::debug!(
-            request:% = self.spec.id, organisation:% = self.spec.organisation,
-            service:% = self.spec.service, outcome:% = outcome,
-            reason = reason.map_or("none", Reason::as_str), latency_us = latency.as_micros();
-            "request_ended"
-        );
-    }
 }
 
 /// The connection to an agent; for a call that may not be repeated only if the agent was heard a
