Show the counters of the store client and of the document's spread

Cause: the store client counted its calls and failures by reason, and the tracker refused versions, but /metrics showed neither.

Change: siskinbend_sources_total by source and event, read when /metrics is shown.

Ruled out: a second set of counters in the shell, because the two could differ.

Before and after: by hand, an entry shows calls, retries and failures of the table service.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -15,6 +15,7 @@
 
 use crate::metrics::Metrics;
 use crate::shutdown::Shutdown;
+use crate::spread::Spread;
 
 /// What a role shows on its admin address.
 pub trait Pages: Send + Sync + 'static {
@@ -27,6 +28,9 @@
     /// What the process does and why.
     fn status(&self) -> ProcessStatus;
 
+    /// How the process learns documents, with the counters of the platform's services.
+    fn spread(&self) -> &Spread;
+
     /// Begins to drain.
     fn shutdown(&self) -> &Shutdown;
 }
@@ -76,6 +80,7 @@
 }
 
 async fn show_metrics(State(pages): State<Arc<dyn Pages>>) -> Result<String, StatusCode> {
+    pages.metrics().set_counts(&pages.spread().read_counts());
     let mut text = String::new();
     prometheus_client::encoding::text::encode(&mut text, &pages.metrics().registry)
         .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -209,6 +209,10 @@
         }
     }
 
+    fn spread(&self) -> &Spread {
+        &self.spread
+    }
+
     fn shutdown(&self) -> &Shutdown {
         &self.shutdown
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -91,6 +91,10 @@
         }
     }
 
+    fn spread(&self) -> &Spread {
+        &self.spread
+    }
+
     fn shutdown(&self) -> &Shutdown {
         &self.shutdown
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and gauges of a process.
 
+use std::sync::atomic::Ordering;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -10,6 +12,8 @@
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
 
+use crate::spread::SourceCount;
+
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -26,6 +30,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of a counter that is kept elsewhere and read when `/metrics` is shown.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SourceLabels {
+    /// `table`, `objects`, `vms` or `document`.
+    pub source: &'static str,
+    /// What was counted.
+    pub event: &'static str,
+}
+
 /// Metrics of one process; a role uses those that apply to it.
 #[derive(Debug)]
 pub struct Metrics {
@@ -39,6 +52,8 @@
     pub retries: Family<ReasonLabels, Counter>,
     /// Faults, refusals and aborts in the agent's group, by reason.
     pub group_faults: Family<ReasonLabels, Counter>,
+    /// Calls to the platform and faults of documents, by source and event.
+    pub sources: Family<SourceLabels, Counter>,
     /// Requests in flight.
     pub inflight: Gauge,
     /// Seconds until the head of the answer.
@@ -54,6 +69,7 @@
         let refusals = Family::default();
         let retries = Family::default();
         let group_faults = Family::default();
+        let sources = Family::default();
         let inflight = Gauge::default();
         let version = Gauge::default();
         let buckets = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.2, 5.0, 30.0];
@@ -66,6 +82,11 @@
             "Faults, refusals and aborts in a group",
             group_faults.clone(),
         );
+        registry.register(
+            "sources",
+            "Calls to the platform and faults of documents",
+            sources.clone(),
+        );
         registry.register("inflight", "Requests in flight", inflight.clone());
         registry.register(
             "first_byte_seconds",
@@ -82,6 +103,7 @@
             requests,
             refusals,
             retries,
+            sources,
             group_faults,
             inflight,
             latency,
@@ -91,6 +113,18 @@
 }
 
 impl Metrics {
+    /// Takes over counters that are kept elsewhere.
+    pub fn set_counts(&self, counts: &[SourceCount]) {
+        for count in counts {
+            let labels = SourceLabels {
+                source: count.source,
+                event: count.name,
+            };
+            let counter = self.sources.get_or_create(&labels);
+            counter.inner().store(count.value, Ordering::Relaxed);
+        }
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, service: &str, outcome: Outcome) {
         let labels = RequestLabels {
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -17,6 +17,7 @@
 use siskinbend_control::version::Action;
 use siskinbend_control::version::Content;
 use siskinbend_control::version::Context;
+use siskinbend_control::version::Counts;
 use siskinbend_control::version::Event;
 use siskinbend_control::version::FetchError;
 use siskinbend_control::version::FetchGate;
@@ -27,6 +28,7 @@
 use siskinbend_document::Document;
 use siskinbend_store::Client;
 use siskinbend_store::Objects;
+use siskinbend_store::client::Service;
 use siskinbend_wire::Message;
 use siskinbend_wire::Newest;
 use siskinbend_wire::Sender;
@@ -36,6 +38,24 @@
 use crate::exchange;
 use crate::limits;
 
+/// The services of the platform with their names in metrics.
+const SERVICES: [(&str, Service); 3] = [
+    ("table", Service::Table),
+    ("objects", Service::Objects),
+    ("vms", Service::Vms),
+];
+
+/// One counter with its source.
+#[derive(Debug, Clone, Copy)]
+pub struct SourceCount {
+    /// `table`, `objects`, `vms` or `document`.
+    pub source: &'static str,
+    /// What was counted.
+    pub name: &'static str,
+    /// How often it happened.
+    pub value: u64,
+}
+
 /// Called when a document is put in force.
 pub type Applied = Box<dyn Fn(&Document, Newest) + Send + Sync>;
 
@@ -115,6 +135,41 @@
         }
     }
 
+    /// Reads the counters of the platform's services and of the document's spread.
+    pub fn read_counts(&self) -> Vec<SourceCount> {
+        let build = |source, name, value| SourceCount {
+            source,
+            name,
+            value,
+        };
+        let mut counts = Vec::new();
+        if let Some(store) = &self.store {
+            for (source, service) in SERVICES {
+                let read = store.counters(service).read_all();
+                counts.extend(
+                    read.iter()
+                        .map(|count| build(source, count.name, count.value)),
+                );
+            }
+        }
+        if let Some(tracker) = &*lock(&self.tracker) {
+            let Counts {
+                split,
+                stale,
+                corrupt,
+                failed,
+            } = tracker.counts();
+            let own = [
+                ("split", split),
+                ("stale", stale),
+                ("corrupt", corrupt),
+                ("failed", failed),
+            ];
+            counts.extend(own.map(|(name, value)| build("document", name, value)));
+        }
+        counts
+    }
+
     /// Tells how many processes poll the table, so that all together stay under its limits.
     pub fn set_nodes(&self, nodes: usize) {
         self.nodes.store(nodes, Ordering::Relaxed);
