Test two regions that lose each other for an hour

Cause: nothing showed that a cut-off region neither goes back nor stays behind when the platform is down at the moment at which the regions meet again.

Ruled out: real processes, because an hour would have to be waited for.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod membership;
 mod operators;
 mod outcomes;
+mod partition;
 mod placement;
 mod placement_counts;
 mod platform_outage;
