Test the decoders of frames and claim rows with any bytes

Cause: documents and count reports had such tests, frames between processes and claim rows had none.

Change: property tests with a fixed seed: any bytes, any payload of a known kind, frames in pieces, announced sizes, any text of a claim row.

Conclusion: no fault found.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod ejection;
 mod entry_kill;
 mod fence;
+mod frames;
 mod freeze_wake;
 mod graceful_drain;
 mod group_shell;
