Keep the lock that ends the process in one place

Cause: three modules had a copy of the lock that ends the process after a panic of its holder.

Ruled out: a lock without poisoning, because a broken invariant would then be passed over.

Before and after: three copies before, one after; no change of behaviour.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
@@ -32,6 +31,8 @@
 use siskinbend_wire::Load;
 use siskinbend_wire::Status;
 
+use crate::sync;
+
 /// Identifies an attempt at one agent.
 pub(crate) type Key = (RequestId, Attempt);
 
@@ -93,13 +94,8 @@
         }
     }
 
-    /// A panic while the lock is held is a broken invariant; the process must not go on.
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        let fatal = |_: PoisonError<_>| -> MutexGuard<'_, Inner> {
-            log::error!("invariant_broken");
-            std::process::abort()
-        };
-        self.inner.lock().unwrap_or_else(fatal)
+        sync::lock(&self.inner)
     }
 
     pub(crate) fn configure(&self, service: &Service, organisations: &[OrganisationEntry]) {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -5,8 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use quinn::Connection;
@@ -44,6 +42,7 @@
 use super::directory::Directory;
 use super::link;
 use crate::limits;
+use crate::sync::lock;
 
 /// Retry budget of one service, shared by its calls; apart from the picker, because every chunk of
 /// an answer passes through it.
@@ -102,17 +101,8 @@
         }
     }
 
-    /// A panic while the lock is held is a broken invariant; the process must not go on.
-    fn lock<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
-        let fatal = |_: PoisonError<_>| -> MutexGuard<'_, T> {
-            log::error!("invariant_broken");
-            std::process::abort()
-        };
-        lock.lock().unwrap_or_else(fatal)
-    }
-
     fn with_pool<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Pool) -> T) -> T {
-        let mut pools = Self::lock(&self.pools);
+        let mut pools = lock(&self.pools);
         if !pools.contains_key(service) {
             let picker = Picker::new(picker::Settings::default(), self.zone.clone());
             let pool = Pool {
@@ -126,7 +116,7 @@
 
     /// Merges the platform's list and returns the addresses that were not known before.
     pub(crate) fn take_list(&self, list: Vec<Vm>, now: Time) -> Vec<SocketAddr> {
-        let mut membership = Self::lock(&self.membership);
+        let mut membership = lock(&self.membership);
         let known = |address: &SocketAddr, membership: &Membership| {
             membership.find(*address).is_some() || self.fixed.contains(address)
         };
@@ -147,12 +137,12 @@
 
     /// Stops choosing agents whose VM is leaving, without waiting for their next report.
     fn apply_leaving(&self, now: Time) {
-        let membership = Self::lock(&self.membership);
+        let membership = lock(&self.membership);
         let leaves = |link: &Link| {
             let member = membership.find(link.connection.remote_address());
             member.is_some_and(|m| m.leaving)
         };
-        let mut links = Self::lock(&self.links);
+        let mut links = lock(&self.links);
         let mut changed = Vec::new();
         for (agent, link) in links.iter_mut() {
             if leaves(link) != link.leaving {
@@ -169,7 +159,7 @@
     /// Notes what a connected agent says, and tells whether this entry keeps the connection.
     pub(crate) fn learn(&self, address: SocketAddr, hello: &Hello) -> bool {
         let (changed, chosen) = {
-            let mut directory = Self::lock(&self.directory);
+            let mut directory = lock(&self.directory);
             (
                 directory.learn(address, hello),
                 directory.is_chosen(address),
@@ -183,26 +173,26 @@
 
     /// Gives the place of an agent in the subset to another.
     pub(crate) fn forget(&self, address: SocketAddr) {
-        if Self::lock(&self.directory).forget(address) {
+        if lock(&self.directory).forget(address) {
             self.changed.send_replace(());
         }
     }
 
     /// Tells whether this entry keeps a connection to an agent.
     pub(crate) fn is_chosen(&self, address: SocketAddr) -> bool {
-        Self::lock(&self.directory).is_chosen(address)
+        lock(&self.directory).is_chosen(address)
     }
 
     /// Tells whether an address is still worth connecting to.
     pub(crate) fn is_wanted(&self, address: SocketAddr) -> bool {
-        self.fixed.contains(&address) || Self::lock(&self.membership).find(address).is_some()
+        self.fixed.contains(&address) || lock(&self.membership).find(address).is_some()
     }
 
     /// Adds a connected agent.
     pub(crate) fn add(&self, connection: &Connection, hello: &Hello, opened: Time, now: Time) {
         let report = link::build_report(connection.remote_address(), hello, &hello.status, opened);
         let leaving = {
-            let mut membership = Self::lock(&self.membership);
+            let mut membership = lock(&self.membership);
             membership.take_report(report, now);
             let member = membership.find(connection.remote_address());
             member.is_some_and(|m| m.leaving)
@@ -214,23 +204,23 @@
             heard: now,
             leaving,
         };
-        Self::lock(&self.links).insert(hello.agent.clone(), link);
+        lock(&self.links).insert(hello.agent.clone(), link);
     }
 
     /// Takes in the answer to a probe.
     pub(crate) fn confirm(&self, agent: &AgentId, status: &Status, asked: Time, now: Time) {
-        let Some(link) = Self::lock(&self.links).get(agent).cloned() else {
+        let Some(link) = lock(&self.links).get(agent).cloned() else {
             return;
         };
         let from = link.connection.remote_address();
         let report = link::build_report(from, &link.hello, status, asked);
-        Self::lock(&self.membership).take_report(report, now);
+        lock(&self.membership).take_report(report, now);
         self.observe(agent, status, now);
     }
 
     /// Forgets the agent of a lost connection, unless it has connected again since.
     pub(crate) fn remove(&self, connection: &Connection) {
-        let mut links = Self::lock(&self.links);
+        let mut links = lock(&self.links);
         let lost = |link: &Link| link.connection.stable_id() == connection.stable_id();
         let name = links
             .iter()
@@ -247,34 +237,31 @@
 
     /// Takes a request into account; false if the organisation has used up its rate.
     pub(crate) fn admit(&self, who: &Organisation, rate: Rate, now: Time) -> bool {
-        let entries = Self::lock(&self.links)
-            .values()
-            .map(|l| l.status.entries)
-            .max();
-        Self::lock(&self.quota).admit(who, rate, entries.unwrap_or(1), now)
+        let entries = lock(&self.links).values().map(|l| l.status.entries).max();
+        lock(&self.quota).admit(who, rate, entries.unwrap_or(1), now)
     }
 
     /// Forgets the rates of organisations that are no longer in the document.
     pub(crate) fn retain_organisations(&self, document: &Document) {
         let known = |who: &Organisation| document.organisations.iter().any(|o| o.name == *who);
-        Self::lock(&self.quota).retain(known);
+        lock(&self.quota).retain(known);
     }
 
     /// Number of connected agents.
     pub(crate) fn count_links(&self) -> usize {
-        Self::lock(&self.links).len()
+        lock(&self.links).len()
     }
 
     /// Time since an agent was last heard; `None` if it isn't connected.
     pub(crate) fn find_silence(&self, agent: &AgentId, now: Time) -> Option<Duration> {
-        Self::lock(&self.links)
+        lock(&self.links)
             .get(agent)
             .map(|link| now.since(link.heard))
     }
 
     /// The connection to an agent.
     pub(crate) fn find_connection(&self, agent: &AgentId) -> Option<Connection> {
-        Self::lock(&self.links)
+        lock(&self.links)
             .get(agent)
             .map(|link| link.connection.clone())
     }
@@ -285,14 +272,14 @@
         if let Some(connection) = self.find_connection(agent) {
             return Some(connection);
         }
-        let address = Self::lock(&self.directory).find_address(agent)?;
+        let address = lock(&self.directory).find_address(agent)?;
         self.dialer.connect(address).await.ok()
     }
 
     /// Takes in the status of an agent.
     pub(crate) fn observe(&self, agent: &AgentId, status: &Status, now: Time) {
         let (service, seen) = {
-            let mut links = Self::lock(&self.links);
+            let mut links = lock(&self.links);
             let Some(link) = links.get_mut(agent) else {
                 return;
             };
@@ -354,7 +341,7 @@
 
     /// Hands an event to a call.
     pub(crate) fn handle(budget: &Budget, call: &mut Call, event: Event, now: Time) -> Vec<Action> {
-        call.handle(event, now, &mut Self::lock(budget))
+        call.handle(event, now, &mut lock(budget))
     }
 
     /// The agents that need a probe now; with many agents each is probed more rarely.
@@ -365,7 +352,7 @@
         )]
         let share = self.count_links() as f64 / limits::PROBE_RATE;
         let quiet = limits::PROBE_QUIET.max(Duration::from_secs_f64(share));
-        let mut pools = Self::lock(&self.pools);
+        let mut pools = lock(&self.pools);
         let due = |pool: &mut Pool| {
             pool.picker.set_quiet(quiet);
             pool.picker.to_probe(now)
@@ -375,7 +362,7 @@
 
     /// One line for each replica: why it is or isn't chosen.
     pub(crate) fn explain(&self, now: Time) -> Vec<String> {
-        let pools = Self::lock(&self.pools);
+        let pools = lock(&self.pools);
         let lines = pools.iter().flat_map(|(service, pool)| {
             pool.picker.explain(now).into_iter().map(move |e| {
                 format!(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod settings;
 pub mod shutdown;
 pub mod spread;
+pub mod sync;
 pub mod vms;
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -37,6 +35,7 @@
 use crate::document::Active;
 use crate::exchange;
 use crate::limits;
+use crate::sync::lock;
 
 /// The services of the platform with their names in metrics.
 const SERVICES: [(&str, Service); 3] = [
@@ -73,15 +72,6 @@
     applied: Applied,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    let fatal = |_: PoisonError<_>| -> MutexGuard<'_, T> {
-        // A panic while the lock is held is a broken invariant; the process must not go on.
-        log::error!("invariant_broken");
-        std::process::abort()
-    };
-    mutex.lock().unwrap_or_else(fatal)
-}
-
 fn to_stamp(newest: Newest) -> Stamp {
     Stamp {
         version: newest.version,
