Even out the experts of a group from agents beside its ranks

Change: placement::recent and placement::even plan from recent counts, groups::orders switches by engine orders, src/rank_agent is the shell. Versions of maps are the fence instead.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod message;
 pub mod options;
+pub mod orders;
 pub mod rank;
 pub mod timing;
 
--- /dev/null
+++ b/crates/placement/src/even.rs
@@ -0,0 +1,318 @@
+//! Placement for engines that divide the tokens of an expert evenly between its replicas.
+//!
+//! Answers the load pattern of a demand that shifts within seconds: a few copies at a time, each of
+//! them chosen because it shortens the pass, so that the switch can follow soon.
+
+/// Exponent of the load in the objective; a high one follows the most loaded rank, but still shows
+/// progress when several ranks are equally loaded.
+const POWER: i32 = 8;
+/// Ranks with the highest load from which experts are taken.
+const HOT_RANKS: usize = 3;
+/// Ranks with the least load to which experts are given.
+const COOL_RANKS: usize = 8;
+/// Heaviest experts of a hot rank that are weighed.
+const HOT_EXPERTS: usize = 4;
+/// Most changes of one set in one plan.
+const MOST_CHANGES: usize = 64;
+/// Least improvement of the objective, as a part of it, that counts as progress.
+const LEAST_PROGRESS: f64 = 1e-4;
+
+/// Experts of each rank of one set.
+pub type SetMap = Vec<Vec<u16>>;
+
+/// Limits of a plan.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Settings {
+    /// Experts that a rank can hold in a set.
+    pub places: usize,
+    /// Experts of a set that one plan may copy to a rank.
+    pub spare: usize,
+    /// Least part of the load of an even set by which a copy must lower the highest load.
+    pub least_gain: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            places: 8,
+            spare: 3,
+            least_gain: 0.03,
+        }
+    }
+}
+
+/// A plan for one set.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The new map.
+    pub map: SetMap,
+    /// Copies that it takes.
+    pub copies: usize,
+    /// Highest load over the mean load before, under the given demand.
+    pub before: f64,
+    /// The same after.
+    pub after: f64,
+}
+
+/// One change: an expert comes to a rank, another may leave it.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    expert: u16,
+    to: usize,
+    /// Leaves `to` for good, or goes to `from` in exchange.
+    evicts: Option<u16>,
+    /// The rank that the expert leaves, if it moves.
+    from: Option<usize>,
+    /// Whether the evicted expert goes to `from`.
+    swaps: bool,
+}
+
+impl Change {
+    fn copies(&self) -> usize {
+        if self.swaps { 2 } else { 1 }
+    }
+}
+
+struct Draft<'demand> {
+    demand: &'demand [f64],
+    map: SetMap,
+    holders: Vec<Vec<usize>>,
+    loads: Vec<f64>,
+    copied: Vec<usize>,
+    start: &'demand SetMap,
+    mean: f64,
+}
+
+/// The highest load over the mean load.
+pub fn find_skew(demand: &[f64], map: &SetMap) -> f64 {
+    let draft = Draft::new(demand, map);
+    draft.highest() / draft.mean
+}
+
+/// Plans one set: `demand` holds the tokens of each expert.
+pub fn plan_set(demand: &[f64], map: &SetMap, settings: &Settings) -> Plan {
+    let mut draft = Draft::new(demand, map);
+    let before = draft.highest() / draft.mean;
+    let mut best = (draft.map.clone(), before, 0);
+    for _ in 0..MOST_CHANGES {
+        let Some(change) = draft.find_change(settings) else {
+            break;
+        };
+        draft.apply(&change);
+        let now = draft.highest() / draft.mean;
+        let copies = draft.count_copies();
+        let gained = best.1 - now;
+        if gained >= settings.least_gain * copies.saturating_sub(best.2) as f64 && gained > 0.0 {
+            best = (draft.map.clone(), now, copies);
+        }
+    }
+    Plan {
+        map: best.0,
+        copies: best.2,
+        before,
+        after: best.1,
+    }
+}
+
+impl<'demand> Draft<'demand> {
+    fn new(demand: &'demand [f64], map: &'demand SetMap) -> Self {
+        let mut holders = vec![Vec::new(); demand.len()];
+        for (rank, experts) in map.iter().enumerate() {
+            for expert in experts {
+                holders[usize::from(*expert)].push(rank);
+            }
+        }
+        let total: f64 = demand.iter().sum();
+        let mut draft = Draft {
+            demand,
+            map: map.clone(),
+            holders,
+            loads: vec![0.0; map.len()],
+            copied: vec![0; map.len()],
+            start: map,
+            mean: (total / map.len().max(1) as f64).max(f64::MIN_POSITIVE),
+        };
+        for expert in 0..demand.len() {
+            draft.put(expert, 1.0);
+        }
+        draft
+    }
+
+    /// Adds the tokens of an expert to its ranks, or takes them away with a sign of -1.
+    fn put(&mut self, expert: usize, sign: f64) {
+        let share = self.demand[expert] / self.holders[expert].len().max(1) as f64;
+        for rank in &self.holders[expert] {
+            self.loads[*rank] += sign * share;
+        }
+    }
+
+    fn highest(&self) -> f64 {
+        self.loads.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn objective(&self) -> f64 {
+        let part = |load: &f64| (load / self.mean).powi(POWER);
+        self.loads.iter().map(part).sum()
+    }
+
+    /// Experts of all ranks that they did not have at the start.
+    fn count_copies(&self) -> usize {
+        self.copied.iter().sum()
+    }
+
+    fn rank_order(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.loads.len()).collect();
+        order.sort_by(|a, b| self.loads[*b].total_cmp(&self.loads[*a]));
+        order
+    }
+
+    /// The change that improves the objective most for each copy.
+    fn find_change(&mut self, settings: &Settings) -> Option<Change> {
+        let order = self.rank_order();
+        let base = self.objective();
+        let mut best: Option<(f64, Change)> = None;
+        for hot in order.iter().take(HOT_RANKS).copied() {
+            for expert in self.list_heavy(hot) {
+                for cool in order.iter().rev().take(COOL_RANKS).copied() {
+                    for change in self.list_changes(expert, hot, cool, settings) {
+                        let gain = (base - self.try_change(&change)) / change.copies() as f64;
+                        let better = best.as_ref().is_none_or(|(most, _)| gain > *most);
+                        if gain > base * LEAST_PROGRESS && better {
+                            best = Some((gain, change));
+                        }
+                    }
+                }
+            }
+        }
+        best.map(|(_, change)| change)
+    }
+
+    fn list_heavy(&self, rank: usize) -> Vec<u16> {
+        let share = |expert: &u16| {
+            let expert = usize::from(*expert);
+            self.demand[expert] / self.holders[expert].len() as f64
+        };
+        let mut experts = self.map[rank].clone();
+        experts.sort_by(|a, b| share(b).total_cmp(&share(a)));
+        experts.truncate(HOT_EXPERTS);
+        experts
+    }
+
+    fn list_changes(
+        &self,
+        expert: u16,
+        hot: usize,
+        cool: usize,
+        settings: &Settings,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let has = self.map[cool].contains(&expert);
+        if hot == cool || has || !self.may_copy(cool, expert, settings) {
+            return changes;
+        }
+        let change = Change {
+            expert,
+            to: cool,
+            evicts: None,
+            from: None,
+            swaps: false,
+        };
+        let from = Some(hot);
+        if self.map[cool].len() < settings.places {
+            changes.push(change);
+            changes.push(Change { from, ..change });
+        }
+        for other in &self.map[cool] {
+            let evicts = Some(*other);
+            if self.holders[usize::from(*other)].len() > 1 {
+                changes.push(Change { evicts, ..change });
+                changes.push(Change {
+                    evicts,
+                    from,
+                    ..change
+                });
+            }
+            let fits = !self.map[hot].contains(other) && self.may_copy(hot, *other, settings);
+            if fits {
+                changes.push(Change {
+                    evicts,
+                    from,
+                    swaps: true,
+                    ..change
+                });
+            }
+        }
+        changes
+    }
+
+    fn may_copy(&self, rank: usize, expert: u16, settings: &Settings) -> bool {
+        self.start[rank].contains(&expert) || self.copied[rank] < settings.spare
+    }
+
+    /// The objective after a change, which is taken back.
+    fn try_change(&mut self, change: &Change) -> f64 {
+        self.shift(change, false);
+        let value = self.objective();
+        self.shift(change, true);
+        value
+    }
+
+    fn shift(&mut self, change: &Change, back: bool) {
+        let expert = usize::from(change.expert);
+        self.put(expert, -1.0);
+        relocate(
+            &mut self.holders[expert],
+            change.from,
+            Some(change.to),
+            back,
+        );
+        self.put(expert, 1.0);
+        if let Some(other) = change.evicts {
+            let other = usize::from(other);
+            let goes = change.from.filter(|_| change.swaps);
+            self.put(other, -1.0);
+            relocate(&mut self.holders[other], Some(change.to), goes, back);
+            self.put(other, 1.0);
+        }
+    }
+
+    fn apply(&mut self, change: &Change) {
+        self.shift(change, false);
+        if let Some(from) = change.from {
+            self.remove(from, change.expert);
+        }
+        if let Some(other) = change.evicts {
+            self.remove(change.to, other);
+            if let Some(from) = change.from.filter(|_| change.swaps) {
+                self.insert(from, other);
+            }
+        }
+        self.insert(change.to, change.expert);
+    }
+
+    fn insert(&mut self, rank: usize, expert: u16) {
+        self.map[rank].push(expert);
+        self.map[rank].sort_unstable();
+        if !self.start[rank].contains(&expert) {
+            self.copied[rank] += 1;
+        }
+    }
+
+    fn remove(&mut self, rank: usize, expert: u16) {
+        self.map[rank].retain(|e| *e != expert);
+        if !self.start[rank].contains(&expert) {
+            self.copied[rank] -= 1;
+        }
+    }
+}
+
+/// Moves one holder from a rank to another, or back.
+fn relocate(holders: &mut Vec<usize>, from: Option<usize>, to: Option<usize>, back: bool) {
+    let (from, to) = if back { (to, from) } else { (from, to) };
+    if let Some(from) = from {
+        holders.retain(|rank| *rank != from);
+    }
+    if let Some(to) = to {
+        holders.push(to);
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod bound;
 pub mod codec;
 pub mod counts;
+pub mod even;
 pub mod explanation;
 pub mod map;
 mod model;
 pub mod packing;
 pub mod policy;
 mod priced;
+pub mod recent;
 mod split;
 mod watch;
 
--- a/crates/site/src/engine.rs
+++ b/crates/site/src/engine.rs
@@ -32,8 +32,6 @@
     pub size: u16,
     /// Whether the group runs passes.
     pub open: bool,
-    /// Orders that the rank has begun.
-    pub sequence: u64,
     /// The pass that was begun last.
     pub step: u64,
     /// Version of the map in force.
@@ -108,8 +106,6 @@
     pub task: Task,
     /// The epoch in which it may be begun.
     pub epoch: u64,
-    /// Orders that the rank must have begun before it; in any other state it is refused.
-    pub sequence: u64,
 }
 
 /// Answer of a rank to an order.
--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Replaces the limits.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes in an answer about the configuration; `asked` is when the call was made. Returns the
     /// configuration if it is newer than the known one.
     pub fn hear_config(&mut self, config: Option<Config>, asked: Time) -> Option<Arc<Config>> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod stream;
 mod sync;
 
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -27,6 +28,7 @@
 
 use crate::clock::BootClock;
 use crate::metrics::Metrics;
+use crate::platform;
 use crate::shutdown::Shutdown;
 
 use fleet::Fleet;
@@ -95,7 +97,11 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
-pub async fn run(settings: NodeSettings, borders: Borders) -> Result<(), StartError> {
+pub async fn run(
+    settings: NodeSettings,
+    file: PathBuf,
+    borders: Borders,
+) -> Result<(), StartError> {
     let callers = settings.callers.ok_or(StartError::NoCallers)?;
     let shutdown = Shutdown::default();
     shutdown.watch_signals().map_err(StartError::Signals)?;
@@ -111,6 +117,14 @@
         settings,
         borders,
     });
+    let shared = Arc::clone(&gateway);
+    platform::watch_settings(file, move |settings| {
+        let limits = view::Settings {
+            revoke: settings.bounds.revoke,
+        };
+        shared.view().configure(limits);
+    })
+    .map_err(StartError::Signals)?;
     log::info!(
         node:% = gateway.settings.node,
         zone:% = gateway.settings.zone,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod platform;
+pub mod rank_agent;
 pub mod runtime;
 pub mod settings;
 pub mod shutdown;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,18 +2,23 @@
 
 use std::fmt;
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use http::uri::Authority;
 
+use siskinbend_platform::HttpEngine;
 use siskinbend_platform::PlatformDialect;
 use siskinbend_platform::PlatformStore;
 use siskinbend_platform::read_settings;
+use siskinbend_site::Engine;
 use siskinbend_site::NodeSettings;
+use siskinbend_site::Source;
 use siskinbend_store::Client;
 use siskinbend_store::http::HttpPlatform;
 
 use crate::gateway::Borders;
+use crate::shutdown::Shutdown;
 
 /// Connects to the platform at a host and port; nothing is sent before the first call.
 pub fn connect(authority: &Authority) -> Arc<Client> {
@@ -54,7 +59,40 @@
 /// The platform as a gateway reaches it.
 pub fn borders(settings: &NodeSettings) -> Borders {
     Borders {
-        source: Arc::new(PlatformStore::new(settings.store)),
+        source: source(settings),
         dialect: Arc::new(PlatformDialect),
     }
 }
+
+/// The platform's store.
+pub fn source(settings: &NodeSettings) -> Arc<dyn Source> {
+    Arc::new(PlatformStore::new(settings.store))
+}
+
+/// The engines of the platform.
+pub fn engine() -> Arc<dyn Engine> {
+    Arc::new(HttpEngine::default())
+}
+
+/// Reads the settings file again on SIGHUP. What a running process can't change, such as its
+/// addresses, is in force at the next start; a file with mistakes changes nothing.
+///
+/// # Errors
+///
+/// Returns an error if the signal can't be watched.
+pub fn watch_settings<Apply>(path: PathBuf, apply: Apply) -> std::io::Result<()>
+where
+    Apply: Fn(&NodeSettings) + Send + 'static,
+{
+    Shutdown::watch_reload(move || match load(&path) {
+        Ok(settings) => {
+            log::info!(node:% = settings.node; "settings_reloaded");
+            apply(&settings);
+        }
+        Err(findings) => {
+            for finding in findings {
+                log::error!(finding:% = finding; "settings_rejected");
+            }
+        }
+    })
+}
--- /dev/null
+++ b/src/rank_agent/peer.rs
@@ -0,0 +1,104 @@
+//! Calls from one agent to another.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::Serialize;
+use siskinbend_link::Link;
+use siskinbend_link::LinkError;
+use siskinbend_link::Pool;
+use siskinbend_link::read_body;
+use tokio::time::timeout;
+
+/// Longest time for an agent to answer, including its call of its rank.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Longest time to open a connection.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// Longest message in bytes.
+pub(super) const MOST_MESSAGE: usize = 1 << 20;
+
+/// Paths of the calls.
+pub(super) const PUSH_PATH: &str = "/push";
+pub(super) const STATE_PATH: &str = "/state";
+pub(super) const ORDER_PATH: &str = "/order";
+
+/// The other agents; each is named by the address of its rank and listens on the same VM.
+pub(super) struct Peers {
+    port: u16,
+    pools: Mutex<HashMap<SocketAddr, Pool>>,
+}
+
+impl Peers {
+    pub fn new(port: u16) -> Peers {
+        Peers {
+            port,
+            pools: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Calls the agent beside a rank, `None` if it gives no usable answer in time.
+    pub async fn call<Message, Answer>(
+        &self,
+        rank: SocketAddr,
+        path: &'static str,
+        message: &Message,
+    ) -> Option<Answer>
+    where
+        Message: Serialize,
+        Answer: for<'de> Deserialize<'de>,
+    {
+        let address = SocketAddr::new(rank.ip(), self.port);
+        let body = postcard::to_stdvec(message).ok()?;
+        let answer = timeout(ANSWER_TIME, self.exchange(address, path, body.into())).await;
+        let bytes = match answer {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(error)) => {
+                log::debug!(peer:% = address, path, error:% = error; "agent_silent");
+                return None;
+            }
+            Err(_) => {
+                log::debug!(peer:% = address, path; "agent_timed_out");
+                return None;
+            }
+        };
+        postcard::from_bytes(&bytes).ok()
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<Bytes, LinkError> {
+        let kept = self.pool(address, Pool::take);
+        let mut link = match kept {
+            Some(link) => link,
+            None => Link::open(address, CONNECT_TIME).await?,
+        };
+        let request = Request::post(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Full::new(body))
+            .map_err(|_| LinkError::NotSent)?;
+        let response = link.send(request).await?;
+        if !response.status().is_success() {
+            return Err(LinkError::Broken);
+        }
+        let bytes = read_body(response.into_body(), MOST_MESSAGE).await?;
+        self.pool(address, |pool| pool.put(link));
+        Ok(bytes)
+    }
+
+    fn pool<Use, Taken>(&self, address: SocketAddr, used: Use) -> Taken
+    where
+        Use: FnOnce(&mut Pool) -> Taken,
+    {
+        let mut pools = self.pools.lock().unwrap_or_else(|e| e.into_inner());
+        used(pools.entry(address).or_default())
+    }
+}
--- /dev/null
+++ b/src/rank_agent/serve.rs
@@ -0,0 +1,113 @@
+//! Answers the calls of other agents.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use siskinbend_site::engine::Order;
+use tokio::net::TcpListener;
+
+use super::Agent;
+use super::peer::MOST_MESSAGE;
+use super::peer::ORDER_PATH;
+use super::peer::PUSH_PATH;
+use super::peer::STATE_PATH;
+use super::roster::Push;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Starts to listen for other agents.
+pub(super) async fn start(agent: &Arc<Agent>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(agent.settings.peers).await?;
+    let agent = Arc::clone(agent);
+    tokio::spawn(async move {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!(error:% = error; "accept_failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!(error:% = error; "socket_options_refused");
+            }
+            let agent = Arc::clone(&agent);
+            let service = service_fn(move |request| answer(Arc::clone(&agent), request));
+            tokio::spawn(async move {
+                let served = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+                if let Err(error) = served {
+                    log::debug!(error:% = error; "agent_connection_ended");
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn answer(
+    agent: Arc<Agent>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let content = match Limited::new(request.into_body(), MOST_MESSAGE)
+        .collect()
+        .await
+    {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) => {
+            log::debug!(error:% = error; "agent_message_broken");
+            return Ok(fail(StatusCode::BAD_REQUEST));
+        }
+    };
+    let done = match path.as_str() {
+        PUSH_PATH => take_push(&agent, &content),
+        STATE_PATH => encode(&agent.engine.read_state(agent.own).await),
+        ORDER_PATH => pass_order(&agent, &content).await,
+        _ => Err(StatusCode::NOT_FOUND),
+    };
+    Ok(done.unwrap_or_else(fail))
+}
+
+fn take_push(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let push: Push = postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let now = agent.now();
+    agent.roster().hear(push, now);
+    encode(&())
+}
+
+async fn pass_order(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let order: Order = postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
+    encode(&agent.engine.give_order(agent.own, &order).await)
+}
+
+fn encode<Answer>(answer: &Answer) -> Result<Response<Full<Bytes>>, StatusCode>
+where
+    Answer: Serialize,
+{
+    let bytes = postcard::to_stdvec(answer).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(Response::new(Full::new(bytes.into())))
+}
+
+fn fail(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -12,6 +12,7 @@
 use crate::gateway;
 use crate::logs;
 use crate::platform;
+use crate::rank_agent;
 use crate::settings::Command;
 use crate::settings::Common;
 use crate::settings::PlatformFlags;
@@ -40,7 +41,13 @@
             Err(findings) => report(&findings),
         },
         Command::Gateway(flags) => on_platform(&flags, |settings| {
-            run_small(gateway::run(settings.clone(), platform::borders(&settings)))
+            let borders = platform::borders(&settings);
+            run_small(gateway::run(settings, flags.settings.clone(), borders))
+        }),
+        Command::RankAgent(flags) => on_platform(&flags, |settings| {
+            let (engine, source) = (platform::engine(), platform::source(&settings));
+            let file = flags.settings.clone();
+            run_small(rank_agent::run(settings, file, engine, source))
         }),
         Command::CheckSettings(flags) => check_settings(&flags),
         Command::Document(command) => run_command(document::run(command)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,6 +40,9 @@
     /// Runs a gateway: takes callers' requests and sends them straight to backend servers
     #[bpaf(command)]
     Gateway(#[bpaf(external(platform_flags))] PlatformFlags),
+    /// Runs an agent beside one rank of an engine group
+    #[bpaf(command("rank-agent"))]
+    RankAgent(#[bpaf(external(platform_flags))] PlatformFlags),
     /// Checks the settings file of a platform
     #[bpaf(command("check-settings"))]
     CheckSettings(#[bpaf(external(platform_flags))] PlatformFlags),
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -47,4 +47,22 @@
         });
         Ok(())
     }
+
+    /// Runs `reload` on every SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be watched.
+    pub fn watch_reload<Reload>(mut reload: Reload) -> std::io::Result<()>
+    where
+        Reload: FnMut() + Send + 'static,
+    {
+        let mut hangup = signal(SignalKind::hangup())?;
+        tokio::spawn(async move {
+            while hangup.recv().await.is_some() {
+                reload();
+            }
+        });
+        Ok(())
+    }
 }
