End switches of frozen leaders, leave slow ranks out, refuse with better returns

Causes: a frozen leader left a pass held for 4 s; a slow rank kept its experts and requests; entries of earlier runs at the same address took requests; callers that were refused while the group was closed came back too early. Change: the leader reads ranks of silent agents itself, plans by pace, and tells the gateways the load of every rank; request::returns chooses Retry-After.

--- a/crates/placement/src/even.rs
+++ b/crates/placement/src/even.rs
@@ -17,6 +17,9 @@
 /// Least improvement of the objective, as a part of it, that counts as progress.
 const LEAST_PROGRESS: f64 = 1e-4;
 
+/// Least pace that counts, so that a malformed one divides nothing by zero.
+const LEAST_PACE: f64 = 0.1;
+
 /// Experts of each rank of one set.
 pub type SetMap = Vec<Vec<u16>>;
 
@@ -77,21 +80,25 @@
     demand: &'demand [f64],
     map: SetMap,
     holders: Vec<Vec<usize>>,
+    /// Time that each rank's tokens take, in tokens of a rank of the usual pace.
     loads: Vec<f64>,
+    paces: &'demand [f64],
     copied: Vec<usize>,
     start: &'demand SetMap,
     mean: f64,
 }
 
-/// The highest load over the mean load.
-pub fn find_skew(demand: &[f64], map: &SetMap) -> f64 {
-    let draft = Draft::new(demand, map);
+/// The highest load over that of an even set. `paces` holds the time that each rank takes for the
+/// same work, as a multiple of the usual time.
+pub fn find_skew(demand: &[f64], paces: &[f64], map: &SetMap) -> f64 {
+    let draft = Draft::new(demand, paces, map);
     draft.highest() / draft.mean
 }
 
-/// Plans one set: `demand` holds the tokens of each expert.
-pub fn plan_set(demand: &[f64], map: &SetMap, settings: &Settings) -> Plan {
-    let mut draft = Draft::new(demand, map);
+/// Plans one set: `demand` holds the tokens of each expert, `paces` the time that each rank takes
+/// for the same work, as a multiple of the usual time.
+pub fn plan_set(demand: &[f64], paces: &[f64], map: &SetMap, settings: &Settings) -> Plan {
+    let mut draft = Draft::new(demand, paces, map);
     let before = draft.highest() / draft.mean;
     let mut best = (draft.map.clone(), before, 0);
     for _ in 0..MOST_CHANGES {
@@ -115,14 +122,16 @@
 }
 
 impl<'demand> Draft<'demand> {
-    fn new(demand: &'demand [f64], map: &'demand SetMap) -> Self {
+    fn new(demand: &'demand [f64], paces: &'demand [f64], map: &'demand SetMap) -> Self {
         let mut holders = vec![Vec::new(); demand.len()];
         for (rank, experts) in map.iter().enumerate() {
             for expert in experts {
                 holders[usize::from(*expert)].push(rank);
             }
         }
+        assert_eq!(paces.len(), map.len(), "one pace for each rank");
         let total: f64 = demand.iter().sum();
+        let speed: f64 = paces.iter().map(|pace| 1.0 / pace.max(LEAST_PACE)).sum();
         let mut draft = Draft {
             demand,
             map: map.clone(),
@@ -130,7 +139,8 @@
             loads: vec![0.0; map.len()],
             copied: vec![0; map.len()],
             start: map,
-            mean: (total / map.len().max(1) as f64).max(f64::MIN_POSITIVE),
+            paces,
+            mean: (total / speed.max(LEAST_PACE)).max(f64::MIN_POSITIVE),
         };
         for expert in 0..demand.len() {
             draft.put(expert, 1.0);
@@ -142,7 +152,7 @@
     fn put(&mut self, expert: usize, sign: f64) {
         let share = self.demand[expert] / self.holders[expert].len().max(1) as f64;
         for rank in &self.holders[expert] {
-            self.loads[*rank] += sign * share;
+            self.loads[*rank] += sign * share * self.paces[*rank].max(LEAST_PACE);
         }
     }
 
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod ledger;
 pub mod resume;
+pub mod returns;
 
 pub use budget::RetryBudget;
 pub use call::Action;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod health;
+pub mod lively;
 pub mod picker;
 pub mod policy;
 pub mod quota;
@@ -16,6 +17,7 @@
 pub use admission::Queue;
 pub use admission::Taken;
 pub use admission::Ticket;
+pub use lively::Lively;
 pub use picker::Choice;
 pub use picker::Done;
 pub use picker::Picker;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -28,6 +28,9 @@
 /// was paused and the answers may still be unread.
 const LONGEST_GAP: Duration = Duration::from_secs(1);
 
+/// Pace over the best one from which a replica is left out.
+const SLOW_PACE: f64 = 1.5;
+
 /// Options of a picker.
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
@@ -153,6 +156,13 @@
         self.settings.health.quiet = quiet;
     }
 
+    /// Sets the time that a known replica's work takes, as a multiple of the usual time.
+    pub fn set_pace(&mut self, agent: &AgentId, pace: f64) {
+        if let Some(replica) = self.replicas.get_mut(agent) {
+            replica.pace = pace;
+        }
+    }
+
     /// Sets what a known replica offers beyond its service. A new incarnation offers nothing until
     /// this is called again, because a restarted engine has lost what was loaded.
     pub fn set_features(&mut self, agent: &AgentId, features: Vec<Feature>) {
@@ -194,6 +204,7 @@
         if usable.iter().any(|r| !r.is_full()) {
             usable.retain(|r| !r.is_full());
         }
+        self.leave_out_slow(&mut usable);
         if usable.is_empty() {
             let leaving = !self.replicas.is_empty() && self.replicas.values().all(|r| r.draining);
             return Err(if leaving {
@@ -279,6 +290,23 @@
         self.replicas.values_mut().filter_map(due).collect()
     }
 
+    /// Leaves out replicas of a slow pace while the others have slots free. In a group that runs in
+    /// lock-step, work on one slow rank slows every rank down.
+    fn leave_out_slow(&self, usable: &mut Vec<&Replica>) {
+        let best = usable.iter().map(|r| r.pace).fold(f64::INFINITY, f64::min);
+        let slow = |r: &&Replica| r.pace > best * SLOW_PACE;
+        if !usable.iter().any(slow) {
+            return;
+        }
+        let peers = self.estimate_peers();
+        let others: Vec<&&Replica> = usable.iter().filter(|r| !slow(r)).collect();
+        let load: f64 = others.iter().map(|r| r.estimate(peers)).sum();
+        let slots: f64 = others.iter().map(|r| f64::from(r.report.slots)).sum();
+        if load < slots {
+            usable.retain(|r| !slow(r));
+        }
+    }
+
     /// What the policy needs to know of the usable replicas.
     fn weigh(&self, usable: &[&Replica], wish: &Wish) -> Vec<Candidate> {
         let peers = self.estimate_peers();
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -52,6 +52,8 @@
     pub zone: Zone,
     /// What the replica offers beyond its service.
     pub features: Vec<Feature>,
+    /// Time that its work takes, as a multiple of the usual time.
+    pub pace: f64,
     /// Whether the agent is leaving.
     pub draining: bool,
     /// The newest load report.
@@ -127,6 +129,7 @@
             window: seen.window,
             zone: seen.zone.clone(),
             features: Vec::new(),
+            pace: 1.0,
             draining: seen.draining,
             report: seen.report,
             heard: now,
--- a/crates/site/src/engine.rs
+++ b/crates/site/src/engine.rs
@@ -44,6 +44,12 @@
     pub held: Option<u64>,
     /// Whether an order is in progress.
     pub busy: bool,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub queued: u32,
+    /// Time that its work takes, as a multiple of the usual time.
+    pub pace: f64,
 }
 
 /// What a rank's requests chose.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -38,8 +38,6 @@
 /// Silence of a backend server after which an attempt at it is given up, if another one of the
 /// service answers meanwhile.
 const MOST_SILENCE: Duration = Duration::from_millis(900);
-/// Silence of the liveliest other backend server up to which it counts as answering.
-const LIVELY: Duration = Duration::from_millis(400);
 
 /// A caller's request that was admitted.
 pub(super) struct Call {
@@ -123,6 +121,9 @@
     last: Option<SmolStr>,
 ) -> Result<Result<Reply, Failure>, Reason> {
     let now = gateway.now();
+    if gateway.fleet().is_closed(&call.service, now) {
+        return Err(Reason::NoReplica);
+    }
     let target = gateway
         .fleet()
         .choose(&call.service, attempts.avoid(), now)?;
@@ -214,7 +215,7 @@
     let head = dialect.read_reply(response.status().as_u16(), response.headers());
     {
         let mut fleet = gateway.fleet();
-        fleet.progress(&flight.target.id, now);
+        fleet.progress(&flight.target, now);
         if let Some(load) = head.load {
             fleet.observe(&flight.target.id, Some(load), now);
         }
@@ -287,15 +288,14 @@
 /// repeated and the backend server is silent while another one answers.
 pub(super) async fn wait_silence(gateway: &Arc<Gateway>, call: &Call, flight: &Flight) {
     let begun = gateway.now();
+    let most = MOST_SILENCE.min(silence_limit(call));
     loop {
         let now = gateway.now();
         if now >= call.deadline {
             return;
         }
-        let (own, others) = gateway.fleet().silence(&flight.target, now);
-        let quiet = own.min(now.since(begun));
         let repeatable = call.route.repeat.is_repeatable();
-        if repeatable && quiet >= MOST_SILENCE.min(silence_limit(call)) && others <= LIVELY {
+        if repeatable && gateway.fleet().silence(&flight.target, begun, now) >= most {
             return;
         }
         tokio::time::sleep(SILENCE_TICK.min(call.left(now))).await;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 use siskinbend_link::Pool;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::Done;
+use siskinbend_routing::Lively;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Report;
 use siskinbend_routing::Seen;
@@ -30,12 +31,15 @@
 use siskinbend_types::Zone;
 
 use super::Gateway;
+use crate::peer::RankLoad;
 
 /// Retries that one gateway may save up. All gateways together must stay within the slack that
 /// the operators grant, and no gateway knows how many there are.
 const RETRY_BURST: u32 = 7;
 /// Part of the granted retry ratio that is used, so that windows of any phase stay within it.
 const RATIO_USED: f64 = 0.7;
+/// Time for which a group counts as closed after it was last seen so.
+const CLOSED_TIME: Duration = Duration::from_millis(800);
 /// Replicas that the choice compares; enough for all replicas of an availability zone.
 const CHOICES: usize = 16;
 
@@ -43,6 +47,9 @@
 struct Pick {
     picker: Picker,
     budget: RetryBudget,
+    lively: Lively,
+    /// When the group behind the service was last seen closed; `None` if it runs.
+    closed: Option<Time>,
 }
 
 /// One backend server with its idle connections.
@@ -50,8 +57,6 @@
     server: BackendServer,
     report: Report,
     pool: Pool,
-    /// When the backend server last sent anything.
-    progress: Time,
 }
 
 /// A chosen backend server.
@@ -99,6 +104,10 @@
             born = server.born;
             "server_registered"
         );
+        let newer = |p: &&Peer| p.server.address == server.address && p.server.born > server.born;
+        if self.peers.values().any(|p| newer(&p)) {
+            return;
+        }
         let moved = self
             .peers
             .get(&server.id)
@@ -106,6 +115,7 @@
         if moved {
             self.remove(&server.id);
         }
+        self.supersede(&server);
         let report = Report {
             slots: server.slots,
             ..Report::default()
@@ -118,7 +128,6 @@
                     server,
                     report,
                     pool: Pool::default(),
-                    progress: now,
                 };
                 self.peers.insert(id.clone(), peer);
             }
@@ -126,24 +135,48 @@
         self.observe(&id, None, now);
     }
 
+    /// Drops earlier runs at the address of a server: their entries lapse only later.
+    fn supersede(&mut self, server: &BackendServer) {
+        let older = |p: &&Peer| {
+            p.server.address == server.address
+                && p.server.id != server.id
+                && p.server.born < server.born
+        };
+        let gone: Vec<AgentId> = self
+            .peers
+            .values()
+            .filter(older)
+            .map(|p| p.server.id.clone())
+            .collect();
+        for id in gone {
+            log::info!(server:% = id, by:% = server.id; "server_superseded");
+            self.remove(&id);
+        }
+    }
+
     fn remove(&mut self, id: &AgentId) {
         if let Some(peer) = self.peers.remove(id) {
             log::info!(server:% = id, service:% = peer.server.service; "server_removed");
             if let Some(pick) = self.services.get_mut(&peer.server.service) {
                 pick.picker.remove(id);
+                pick.lively.remove(id);
             }
         }
     }
 
     /// Takes in a load report, or repeats the last one so that ejections can end.
     pub fn observe(&mut self, id: &AgentId, report: Option<Report>, now: Time) {
+        self.observe_aged(id, report.map(|r| (r, Duration::ZERO)), now);
+    }
+
+    fn observe_aged(&mut self, id: &AgentId, report: Option<(Report, Duration)>, now: Time) {
         let Some(peer) = self.peers.get_mut(id) else {
             return;
         };
         let age = match report {
-            Some(report) => {
+            Some((report, age)) => {
                 peer.report = report;
-                Duration::ZERO
+                age
             }
             None => Duration::MAX,
         };
@@ -184,6 +217,8 @@
                 picker: Picker::new(settings, self.zone.clone()),
                 budget: RetryBudget::new(RETRY_BURST.min(self.bounds.retry_slack))
                     .with_ratio(ratio),
+                lively: Lively::default(),
+                closed: None,
             };
             self.services.insert(name.clone(), pick);
         }
@@ -231,25 +266,70 @@
     }
 
     /// Notes that a backend server sent something.
-    pub fn progress(&mut self, id: &AgentId, now: Time) {
-        if let Some(peer) = self.peers.get_mut(id) {
-            peer.progress = now;
-        }
+    pub fn progress(&mut self, target: &Target, now: Time) {
+        self.service(&target.service).lively.hear(&target.id, now);
     }
 
-    /// How long a backend server and the liveliest other one of its service have been silent.
-    pub fn silence(&self, target: &Target, now: Time) -> (Duration, Duration) {
-        let own = self
-            .peers
-            .get(&target.id)
-            .map_or(Duration::MAX, |p| now.since(p.progress));
-        let others = self
-            .peers
-            .values()
-            .filter(|p| p.server.service == target.service && p.server.id != target.id)
-            .map(|p| now.since(p.progress))
-            .min();
-        (own, others.unwrap_or(Duration::MAX))
+    /// How long a backend server has been silent while others of its service were not.
+    pub fn silence(&mut self, target: &Target, begun: Time, now: Time) -> Duration {
+        self.service(&target.service)
+            .lively
+            .find_silence(&target.id, begun, now)
+    }
+
+    /// One replica of each service whose engines have agents, the others of the service after it
+    /// in the order in which they lead.
+    pub fn list_groups(&self, services: &[ServiceName]) -> Vec<Vec<SocketAddr>> {
+        let ranks = |service: &ServiceName| {
+            let own = |p: &&Peer| &p.server.service == service;
+            let mut ranks: Vec<SocketAddr> = self
+                .peers
+                .values()
+                .filter(own)
+                .map(|p| p.server.address)
+                .collect();
+            ranks.sort();
+            ranks.dedup();
+            ranks
+        };
+        services.iter().map(ranks).collect()
+    }
+
+    /// Whether no replica of a service can run anything now.
+    pub fn is_closed(&mut self, service: &ServiceName, now: Time) -> bool {
+        let closed = self.service(service).closed;
+        closed.is_some_and(|seen| now.since(seen) <= CLOSED_TIME)
+    }
+
+    /// Takes in the loads that the leader of a group told.
+    pub fn hear_loads(&mut self, loads: &[RankLoad], now: Time) {
+        for load in loads {
+            let found = self
+                .peers
+                .values()
+                .find(|p| p.server.address == load.rank)
+                .map(|p| {
+                    (
+                        p.server.id.clone(),
+                        p.server.service.clone(),
+                        p.report.slots,
+                    )
+                });
+            let Some((id, service, slots)) = found else {
+                continue;
+            };
+            let report = Report {
+                running: load.running,
+                queued: load.queued,
+                slots,
+                ..Report::default()
+            };
+            let age = Duration::from_millis(u64::from(load.age));
+            let closed = (!load.open).then_some(now);
+            self.service(&service).closed = closed;
+            self.observe_aged(&id, Some((report, age)), now);
+            self.service(&service).picker.set_pace(&id, load.pace);
+        }
     }
 
     /// The retry budget of a service.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempt;
 mod fleet;
+mod loads;
 mod plain;
 mod serve;
 mod server;
@@ -28,6 +29,7 @@
 
 use crate::clock::BootClock;
 use crate::metrics::Metrics;
+use crate::peer::Peers;
 use crate::platform;
 use crate::shutdown::Shutdown;
 
@@ -53,6 +55,7 @@
     clock: BootClock,
     shutdown: Shutdown,
     metrics: Metrics,
+    peers: Peers,
     view: Mutex<View>,
     fleet: Mutex<Fleet>,
 }
@@ -111,6 +114,7 @@
     let gateway = Arc::new(Gateway {
         fleet: Mutex::new(Fleet::new(settings.zone.clone(), settings.bounds)),
         view: Mutex::new(View::new(limits)),
+        peers: Peers::new(settings.peers.port()),
         clock: BootClock,
         metrics: Metrics::default(),
         shutdown,
@@ -138,6 +142,7 @@
     }
     server::serve_metrics(&gateway, gateway.settings.metrics).await?;
     sync::start(&gateway);
+    tokio::spawn(loads::run(Arc::clone(&gateway)));
     let limit = gateway.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
     server::serve_callers(&gateway, listener, limit).await;
     log::info!(node:% = gateway.settings.node; "gateway_stopped");
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use siskinbend_request::Next;
+use siskinbend_request::returns;
 use siskinbend_site::Config;
 use siskinbend_site::config::KeyOwner;
 use siskinbend_types::Outcome;
@@ -26,8 +27,8 @@
 use super::plain;
 use super::stream;
 
-/// Time after which a caller of a refused request should come back.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Time after which a caller should come back that was refused for want of knowledge.
+const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time that a caller waits if it doesn't say.
 const USUAL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -77,10 +78,20 @@
     gateway
         .metrics
         .count_request(call.service.as_str(), outcome);
-    let after = (outcome == Outcome::NotRun).then_some(RETRY_AFTER);
+    let after = (outcome == Outcome::NotRun).then(|| find_return(reason, call.left(now)));
     problem(reason, outcome, after)
 }
 
+/// When the caller of a request that did not run should come back.
+fn find_return(reason: Reason, left: Duration) -> Duration {
+    let cause = match reason {
+        Reason::QueueFull | Reason::ShareExceeded => returns::Cause::Full,
+        Reason::NoReplica | Reason::Draining => returns::Cause::Closed,
+        _ => returns::Cause::Broken,
+    };
+    returns::find_return(cause, left, rand::random())
+}
+
 async fn admit(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Reason> {
     let received = gateway.now();
     let (parts, body) = request.into_parts();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -146,7 +146,7 @@
         };
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet();
-        fleet.progress(&self.flight.target.id, now);
+        fleet.progress(&self.flight.target, now);
         if !self.begun {
             self.begun = true;
             fleet.first(&self.flight.target, now.since(self.call.received), now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod logs;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
 pub mod rank_agent;
 pub mod runtime;
--- a/src/rank_agent/peer.rs
+++ b/src/peer.rs
@@ -1,4 +1,4 @@
-//! Calls from one agent to another.
+//! Calls from one process of the system to the agent beside a rank.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,15 +21,33 @@
 /// Longest time to open a connection.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
 /// Longest message in bytes.
-pub(super) const MOST_MESSAGE: usize = 1 << 20;
+pub(crate) const MOST_MESSAGE: usize = 1 << 20;
 
 /// Paths of the calls.
-pub(super) const PUSH_PATH: &str = "/push";
-pub(super) const STATE_PATH: &str = "/state";
-pub(super) const ORDER_PATH: &str = "/order";
+pub(crate) const PUSH_PATH: &str = "/push";
+pub(crate) const STATE_PATH: &str = "/state";
+pub(crate) const ORDER_PATH: &str = "/order";
+pub(crate) const LOADS_PATH: &str = "/loads";
+
+/// Load of one rank.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct RankLoad {
+    /// Address of the rank.
+    pub rank: SocketAddr,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub queued: u32,
+    /// Time that its work takes, as a multiple of the usual time.
+    pub pace: f64,
+    /// Whether its group runs passes.
+    pub open: bool,
+    /// Age of the figures in milliseconds.
+    pub age: u32,
+}
 
 /// The other agents; each is named by the address of its rank and listens on the same VM.
-pub(super) struct Peers {
+pub(crate) struct Peers {
     port: u16,
     pools: Mutex<HashMap<SocketAddr, Pool>>,
 }
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -1,7 +1,6 @@
 //! Agent beside one rank of an engine group: reads what its rank counts, passes orders on, and, if
 //! it leads the group, evens out the experts.
 
-mod peer;
 mod push;
 mod roster;
 mod serve;
@@ -20,10 +19,10 @@
 use siskinbend_types::Time;
 
 use crate::clock::BootClock;
+use crate::peer::Peers;
 use crate::platform;
 use crate::shutdown::Shutdown;
 
-use peer::Peers;
 use roster::Roster;
 
 /// Interval at which a rank is read and its counts are passed on.
--- a/src/rank_agent/push.rs
+++ b/src/rank_agent/push.rs
@@ -8,8 +8,8 @@
 
 use super::Agent;
 use super::BEAT;
-use super::peer::PUSH_PATH;
 use super::roster::Push;
+use crate::peer::PUSH_PATH;
 
 /// The experts of the rank and the map for which they were read.
 struct Known {
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -17,11 +17,16 @@
 use siskinbend_site::engine::RankState;
 use siskinbend_types::Time;
 
+use crate::peer::RankLoad;
+
 /// Time for which a silent agent is passed over when counts are passed on.
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// Age at which what an agent told counts no more.
 const STALE: Duration = Duration::from_millis(1_200);
 
+/// Age at which a rank is read without its agent.
+const SILENT: Duration = Duration::from_millis(800);
+
 /// What an agent tells the leader of its group.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Push {
@@ -36,6 +41,8 @@
 struct Told {
     push: Push,
     heard: Time,
+    /// Whether the rank was read without its agent.
+    direct: bool,
 }
 
 /// The ranks of a group.
@@ -97,7 +104,59 @@
         let counts = push.counts.counts.clone();
         self.demand
             .add(push.state.rank, push.state.epoch, counts, now);
-        self.told.insert(push.rank, Told { push, heard: now });
+        self.note(push, now, false);
+    }
+
+    /// Takes in what was read of a rank without its agent.
+    pub fn fill(&mut self, push: Push, now: Time) {
+        self.note(push, now, true);
+    }
+
+    fn note(&mut self, push: Push, now: Time, direct: bool) {
+        let rank = push.rank;
+        let told = Told {
+            push,
+            heard: now,
+            direct,
+        };
+        self.told.insert(rank, told);
+    }
+
+    /// Whether the agent of a rank was silent when the rank was last read.
+    pub fn is_direct(&self, rank: SocketAddr) -> bool {
+        self.told.get(&rank).is_some_and(|told| told.direct)
+    }
+
+    /// Ranks whose agents are silent, if this agent leads and hears most of the others.
+    pub fn list_silent(&self, now: Time) -> Vec<SocketAddr> {
+        let fresh = |told: &Told| now.since(told.heard) <= SILENT;
+        let heard = self.told.values().filter(|told| fresh(told)).count();
+        if !self.list_candidates(now).is_empty() || heard * 2 < self.members.len() {
+            return Vec::new();
+        }
+        let silent = |rank: &&SocketAddr| self.told.get(rank).is_none_or(|told| !fresh(told));
+        self.members.iter().filter(silent).copied().collect()
+    }
+
+    /// The experts of a rank, if they were told for the map that it uses now.
+    pub fn find_placement(&self, rank: SocketAddr, state: &RankState) -> Option<Placement> {
+        let push = &self.told.get(&rank)?.push;
+        let same = push.state.epoch == state.epoch && push.state.map == state.map;
+        same.then(|| push.placement.clone())
+    }
+
+    /// Load of every rank that was heard lately.
+    pub fn list_loads(&self, now: Time) -> Vec<RankLoad> {
+        let load = |told: &Told| RankLoad {
+            rank: told.push.rank,
+            running: told.push.state.running,
+            queued: told.push.state.queued,
+            pace: told.push.state.pace,
+            open: told.push.state.open,
+            age: u32::try_from(now.since(told.heard).as_millis()).unwrap_or(u32::MAX),
+        };
+        let fresh = |told: &&Told| now.since(told.heard) <= STALE;
+        self.told.values().filter(fresh).map(load).collect()
     }
 
     /// What the agents told lately, by rank.
--- a/src/rank_agent/serve.rs
+++ b/src/rank_agent/serve.rs
@@ -20,11 +20,12 @@
 use tokio::net::TcpListener;
 
 use super::Agent;
-use super::peer::MOST_MESSAGE;
-use super::peer::ORDER_PATH;
-use super::peer::PUSH_PATH;
-use super::peer::STATE_PATH;
 use super::roster::Push;
+use crate::peer::LOADS_PATH;
+use crate::peer::MOST_MESSAGE;
+use crate::peer::ORDER_PATH;
+use crate::peer::PUSH_PATH;
+use crate::peer::STATE_PATH;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -80,6 +81,7 @@
     let done = match path.as_str() {
         PUSH_PATH => take_push(&agent, &content),
         STATE_PATH => encode(&agent.engine.read_state(agent.own).await),
+        LOADS_PATH => encode(&agent.roster().list_loads(agent.now())),
         ORDER_PATH => pass_order(&agent, &content).await,
         _ => Err(StatusCode::NOT_FOUND),
     };
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -12,6 +12,7 @@
 use siskinbend_groups::orders::Switch;
 use siskinbend_placement::even::Settings;
 use siskinbend_placement::even::plan_set;
+use siskinbend_site::engine::Counts;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
@@ -21,15 +22,16 @@
 
 use super::Agent;
 use super::BEAT;
-use super::peer::ORDER_PATH;
-use super::peer::STATE_PATH;
+use super::roster::Push;
+use crate::peer::ORDER_PATH;
+use crate::peer::STATE_PATH;
 
 /// Pause between two looks at ranks that copy experts.
 const COPY_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two looks at ranks that have to answer at once.
 const SHORT_PAUSE: Duration = Duration::from_millis(4);
 /// Time for which a hold without a known switch is left to its coordinator.
-const ORPHAN_TIME: Duration = Duration::from_millis(700);
+const ORPHAN_TIME: Duration = Duration::from_millis(300);
 /// Longest time that a switch or recovery is driven before the group is looked at anew.
 const DRIVE_TIME: Duration = Duration::from_secs(12);
 /// Bits of a version that are drawn at random, so that no two switches ever use the same one.
@@ -53,6 +55,7 @@
             () = agent.shutdown.wait() => return,
         }
         let now = agent.now();
+        fill_in(agent, now).await;
         let Some(group) = read_group(agent, now) else {
             orphan = None;
             continue;
@@ -72,6 +75,30 @@
     }
 }
 
+/// Reads the ranks whose agents are silent, if this agent leads: one of them may hold a pass.
+async fn fill_in(agent: &Agent, now: Time) {
+    let silent = agent.roster().list_silent(now);
+    let reads = silent.into_iter().map(|rank| async move {
+        let state = agent.engine.read_state(rank).await?;
+        let known = agent.roster().find_placement(rank, &state);
+        let placement = match known {
+            Some(placement) => placement,
+            None => agent.engine.read_placement(rank).await?,
+        };
+        log::info!(rank:% = rank, number = state.rank, held:? = state.held; "rank_read_directly");
+        Some(Push {
+            rank,
+            state,
+            counts: Counts::default(),
+            placement,
+        })
+    });
+    for push in join_all(reads).await.into_iter().flatten() {
+        let now = agent.now();
+        agent.roster().fill(push, now);
+    }
+}
+
 /// The whole group, if this agent leads it and every rank was heard lately.
 fn read_group(agent: &Agent, now: Time) -> Option<Group> {
     let roster = agent.roster();
@@ -83,7 +110,7 @@
     let sets = fresh.first()?.placement.len();
     let map = (0..sets)
         .map(|set| {
-            let experts = |p: &&super::roster::Push| p.placement.get(set).cloned();
+            let experts = |p: &&Push| p.placement.get(set).cloned();
             fresh.iter().filter_map(experts).collect()
         })
         .collect();
@@ -128,9 +155,15 @@
     let sets = group.map.len();
     let experts = demand.len() / sets.max(1);
     let settings = Settings::default();
+    let paces: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
     let (mut map, mut gain, mut copies) = (Vec::new(), 0.0, 0);
     for (set, present) in group.map.iter().enumerate() {
-        let plan = plan_set(&demand[set * experts..][..experts], present, &settings);
+        let plan = plan_set(
+            &demand[set * experts..][..experts],
+            &paces,
+            present,
+            &settings,
+        );
         gain += plan.before - plan.after;
         copies += plan.copies;
         map.push(plan.map);
@@ -235,7 +268,7 @@
 /// Reads all ranks now, through their agents, or directly where an agent does not answer.
 async fn read_fresh(agent: &Arc<Agent>, ranks: &[SocketAddr]) -> Vec<Option<RankState>> {
     let reads = ranks.iter().map(|rank| async move {
-        if *rank == agent.own {
+        if *rank == agent.own || agent.roster().is_direct(*rank) {
             return agent.engine.read_state(*rank).await;
         }
         let told: Option<Option<RankState>> = agent.peers.call(*rank, STATE_PATH, &()).await;
@@ -248,7 +281,8 @@
 }
 
 async fn give(agent: &Arc<Agent>, rank: SocketAddr, order: &Order) -> OrderReply {
-    let reply = if rank == agent.own {
+    let direct = rank == agent.own || agent.roster().is_direct(rank);
+    let reply = if direct {
         agent.engine.give_order(rank, order).await
     } else {
         match agent.peers.call(rank, ORDER_PATH, order).await {
