--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Takes in that an order got no answer: it is given again in the next round.
+    pub fn miss_answer(&mut self, rank: usize) {
+        self.asked[rank] = None;
+    }
+
     /// The pass that is or was held, if any.
     pub fn held_pass(&self) -> Option<u64> {
         match self.phase {
