Notice a shift of demand within 125 ms and repeat unanswered orders at once

Cause: a shift was noticed after 0.5 s on average; orders to prepare that got no answer were repeated after 0.7 s. Change: ranks are read every 125 ms, counts fade in 0.8 s, an order without an answer is given again in the next round.

--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -20,7 +20,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            memory: Duration::from_millis(1_000),
+            memory: Duration::from_millis(800),
             least: 2_000.0,
         }
     }
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -26,9 +26,9 @@
 use roster::Roster;
 
 /// Interval at which a rank is read and its counts are passed on.
-const BEAT: Duration = Duration::from_millis(250);
+const BEAT: Duration = Duration::from_millis(125);
 /// Interval at which the registry is read.
-const REGISTRY_READ: Duration = Duration::from_secs(8);
+const REGISTRY_READ: Duration = Duration::from_secs(15);
 /// Pause after the registry could not be read.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
 
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -156,7 +156,7 @@
     let experts = demand.len() / sets.max(1);
     let settings = Settings::default();
     let paces: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
-    let (mut map, mut gain, mut copies) = (Vec::new(), 0.0, 0);
+    let (mut map, mut before, mut after, mut copies) = (Vec::new(), 0.0, 0.0, 0);
     for (set, present) in group.map.iter().enumerate() {
         let plan = plan_set(
             &demand[set * experts..][..experts],
@@ -164,11 +164,12 @@
             present,
             &settings,
         );
-        gain += plan.before - plan.after;
+        before += plan.before;
+        after += plan.after;
         copies += plan.copies;
         map.push(plan.map);
     }
-    if gain < LEAST_GAIN {
+    if before - after < LEAST_GAIN {
         return;
     }
     let seen = read_fresh(agent, &group.ranks).await;
@@ -184,9 +185,20 @@
         floor,
     };
     let version = goal.version;
-    log::info!(version, gain, copies, step = group.states[own].step; "switch_started");
+    let mean = |skew: f64| format!("{:.2}", skew / sets as f64);
+    log::info!(
+        version,
+        skew_before = mean(before),
+        skew_after = mean(after),
+        copies,
+        step = group.states[own].step;
+        "switch_started"
+    );
     let mut switch = Switch::new(goal, group.ranks.len(), now);
-    let ended = drive(agent, &group.ranks, |seen, now| {
+    let ended = drive(agent, &group.ranks, |seen, unanswered, now| {
+        for rank in unanswered {
+            switch.miss_answer(*rank);
+        }
         let round = switch.advance(seen, now);
         (round, switch.held_pass().is_some())
     })
@@ -225,7 +237,7 @@
     let version = draw_version(&states);
     log::warn!(rank, step, version; "recovery_started");
     let mut recovery = Recovery::new(rank, step, epoch, version, group.map.clone());
-    let ended = drive(agent, &group.ranks, |seen, _| {
+    let ended = drive(agent, &group.ranks, |seen, _, _| {
         (recovery.advance(seen), true)
     })
     .await;
@@ -243,21 +255,27 @@
     mut advance: Advance,
 ) -> Option<Ended>
 where
-    Advance: FnMut(&[Option<RankState>], Time) -> (Round, bool),
+    Advance: FnMut(&[Option<RankState>], &[usize], Time) -> (Round, bool),
 {
     let begun = agent.now();
+    let mut unanswered: Vec<usize> = Vec::new();
     while agent.now().since(begun) < DRIVE_TIME {
         let seen = read_fresh(agent, ranks).await;
-        let (round, urgent) = advance(&seen, agent.now());
+        let (round, urgent) = advance(&seen, &unanswered, agent.now());
         if round.ended.is_some() {
             return round.ended;
         }
         let idle = round.orders.is_empty();
         let given = round.orders.into_iter().map(|(rank, order)| {
             let address = ranks[rank];
-            async move { give(agent, address, &order).await }
+            async move { (rank, give(agent, address, &order).await) }
         });
-        join_all(given).await;
+        unanswered = join_all(given)
+            .await
+            .into_iter()
+            .filter(|(_, reply)| *reply == OrderReply::Unknown)
+            .map(|(rank, _)| rank)
+            .collect();
         if idle {
             sleep(if urgent { SHORT_PAUSE } else { COPY_PAUSE }).await;
         }
