--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -236,19 +236,23 @@
         self.release(seen, step)
     }
 
-    /// Lets the pass begin; stays until it has begun, because a late copy of the hold could stop
-    /// it again.
+    /// Lets the pass begin; stays until it has begun, because a late copy of a hold could stop it
+    /// again. All ranks are armed, so no earlier pass needs to be held either.
     fn release(&mut self, seen: &[Option<RankState>], step: u64) -> Round {
-        let Some(own) = &seen[self.goal.own] else {
-            return Round::default();
-        };
-        if own.held == Some(step) {
-            return Round::one(self.goal.own, Task::Go { step }, self.goal.epoch);
+        let mut round = Round::default();
+        for (rank, state) in seen.iter().enumerate() {
+            let held = state.as_ref().and_then(|s| s.held);
+            if let Some(step) = held.filter(|held| *held <= step) {
+                let task = Task::Go { step };
+                let epoch = self.goal.epoch;
+                round.orders.push((rank, Order { task, epoch }));
+            }
         }
-        if own.step >= step {
+        let begun = seen[self.goal.own].as_ref().is_some_and(|s| s.step >= step);
+        if begun && round.orders.is_empty() {
             return Round::end(Ended::Switched);
         }
-        Round::default()
+        round
     }
 }
 
@@ -291,11 +295,9 @@
         if held.held != Some(self.step) {
             return Round::end(Ended::Released);
         }
-        let armed = |s: &Option<RankState>| {
-            let armed = s.as_ref().and_then(|s| s.armed);
-            armed.filter(|a| a.step == self.step).map(|a| a.version)
-        };
-        let all = armed(&seen[self.held]);
+        // All ranks may also be armed for a later pass, if a hold arrived long after its switch.
+        let armed = |s: &Option<RankState>| s.as_ref().and_then(|s| s.armed);
+        let all = armed(&seen[self.held]).filter(|a| a.step >= self.step);
         if all.is_some() && seen.iter().all(|s| armed(s) == all) {
             return Round::one(self.held, Task::Go { step: self.step }, self.epoch);
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,7 @@
 mod link;
 mod pool;
 
+pub use link::Close;
 pub use link::Link;
 pub use link::LinkError;
 pub use link::read_body;
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -39,6 +39,16 @@
 
 impl std::error::Error for LinkError {}
 
+/// How a connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Close {
+    /// What was sent still arrives.
+    Finish,
+    /// What has not arrived yet never does: the connection is reset. A request whose caller left
+    /// must not reach a backend server that was cut off for a while.
+    Abort,
+}
+
 /// One HTTP/1.1 connection; dropping it closes the connection.
 #[derive(Debug)]
 pub struct Link {
@@ -51,7 +61,11 @@
     /// # Errors
     ///
     /// [`LinkError::Connect`] if there is none within `limit`.
-    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Link, LinkError> {
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        close: Close,
+    ) -> Result<Link, LinkError> {
         let connected = timeout(limit, TcpStream::connect(address)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
@@ -64,7 +78,7 @@
                 return Err(LinkError::Connect);
             }
         };
-        tune(&stream);
+        tune(&stream, close);
         let shaken = http1::Builder::new()
             .max_buf_size(READ_BUFFER.max(64 << 10))
             .handshake(TokioIo::new(stream))
@@ -122,10 +136,14 @@
     }
 }
 
-fn tune(stream: &TcpStream) {
+fn tune(stream: &TcpStream, close: Close) {
     let socket = SockRef::from(stream);
-    let tuned = stream
-        .set_nodelay(true)
+    let linger = match close {
+        Close::Finish => Ok(()),
+        Close::Abort => socket.set_linger(Some(Duration::ZERO)),
+    };
+    let tuned = linger
+        .and_then(|()| stream.set_nodelay(true))
         .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)));
     if let Err(error) = tuned {
         log::debug!(error:% = error; "socket_options_refused");
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use siskinbend_link::Close;
 use siskinbend_link::Link;
 use siskinbend_link::LinkError;
 use siskinbend_request::Attempts;
@@ -156,11 +157,8 @@
     match kept {
         Some(link) => Ok(link),
         None => {
-            Link::open(
-                flight.target.address,
-                CONNECT_TIME.min(call.left(gateway.now())),
-            )
-            .await
+            let limit = CONNECT_TIME.min(call.left(gateway.now()));
+            Link::open(flight.target.address, limit, Close::Abort).await
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::Serialize;
+use siskinbend_link::Close;
 use siskinbend_link::Link;
 use siskinbend_link::LinkError;
 use siskinbend_link::Pool;
@@ -97,7 +98,7 @@
         let kept = self.pool(address, Pool::take);
         let mut link = match kept {
             Some(link) => link,
-            None => Link::open(address, CONNECT_TIME).await?,
+            None => Link::open(address, CONNECT_TIME, Close::Finish).await?,
         };
         let request = Request::post(path)
             .header(http::header::HOST, address.to_string())
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -24,6 +24,8 @@
 /// Age at which what an agent told counts no more.
 const STALE: Duration = Duration::from_millis(1_200);
 
+/// Time after which a group whose next pass is held counts as closed.
+const HELD_TIME: Duration = Duration::from_millis(350);
 /// Age at which a rank is read without its agent.
 const SILENT: Duration = Duration::from_millis(800);
 
@@ -53,6 +55,8 @@
     told: BTreeMap<SocketAddr, Told>,
     /// Epoch, and the pass after which this agent may hold one.
     floor: Option<(u64, u64)>,
+    /// Since when the next pass has been held.
+    held: Option<Time>,
     pub demand: Recent,
 }
 
@@ -64,6 +68,7 @@
             passed: BTreeMap::new(),
             told: BTreeMap::new(),
             floor: None,
+            held: None,
             demand: Recent::new(Default::default()),
         }
     }
@@ -145,14 +150,28 @@
         same.then(|| push.placement.clone())
     }
 
+    /// Notes whether the next pass is held, and tells whether it has been for a while.
+    fn watch_hold(&mut self, now: Time) -> bool {
+        let states = || self.told.values().map(|told| &told.push.state);
+        let step = states().map(|s| s.step).max().unwrap_or(0);
+        let held = states().any(|s| s.held.is_some_and(|pass| pass <= step + 1));
+        match (held, self.held) {
+            (true, None) => self.held = Some(now),
+            (false, _) => self.held = None,
+            (true, Some(_)) => {}
+        }
+        self.held.is_some_and(|since| now.since(since) >= HELD_TIME)
+    }
+
     /// Load of every rank that was heard lately.
-    pub fn list_loads(&self, now: Time) -> Vec<RankLoad> {
+    pub fn list_loads(&mut self, now: Time) -> Vec<RankLoad> {
+        let stopped = self.watch_hold(now);
         let load = |told: &Told| RankLoad {
             rank: told.push.rank,
             running: told.push.state.running,
             queued: told.push.state.queued,
             pace: told.push.state.pace,
-            open: told.push.state.open,
+            open: told.push.state.open && !stopped,
             age: u32::try_from(now.since(told.heard).as_millis()).unwrap_or(u32::MAX),
         };
         let fresh = |told: &&Told| now.since(told.heard) <= STALE;
--- /dev/null
+++ b/tests/integration/even_placement.rs
@@ -0,0 +1,102 @@
+//! Placement for engines that divide an expert evenly between its replicas.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use siskinbend_placement::even::SetMap;
+use siskinbend_placement::even::Settings;
+use siskinbend_placement::even::find_skew;
+use siskinbend_placement::even::plan_set;
+
+const RANKS: usize = 12;
+const EXPERTS: usize = 72;
+
+/// Experts dealt in turn, as a group starts.
+fn deal() -> SetMap {
+    let experts = |rank: usize| (rank..EXPERTS).step_by(RANKS).map(|e| e as u16).collect();
+    (0..RANKS).map(experts).collect()
+}
+
+/// A demand in which a few experts are liked much more than the others.
+fn draw_demand(rng: &mut ChaCha8Rng) -> Vec<f64> {
+    let mut demand: Vec<f64> = (0..EXPERTS).map(|_| rng.random_range(10.0..30.0)).collect();
+    for _ in 0..8 {
+        demand[rng.random_range(0..EXPERTS)] += rng.random_range(100.0..400.0);
+    }
+    demand
+}
+
+fn check(map: &SetMap, before: &SetMap, settings: &Settings) {
+    for expert in 0..EXPERTS as u16 {
+        assert!(
+            map.iter().any(|on| on.contains(&expert)),
+            "expert {expert} is nowhere"
+        );
+    }
+    for (rank, (on, old)) in map.iter().zip(before).enumerate() {
+        assert!(
+            on.len() <= settings.places,
+            "rank {rank} holds {} experts",
+            on.len()
+        );
+        assert!(
+            on.windows(2).all(|w| w[0] < w[1]),
+            "rank {rank} holds one twice: {on:?}"
+        );
+        let new = on.iter().filter(|e| !old.contains(e)).count();
+        assert!(new <= settings.spare, "rank {rank} gets {new} new experts");
+    }
+}
+
+/// Guards against plans that break the limits of the engines, or that leave a shifted demand
+/// uneven. The baseline is the map that is kept.
+#[test]
+fn shifted_demand() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let settings = Settings::default();
+    let paces = vec![1.0; RANKS];
+    let (mut kept, mut planned) = (0.0, 0.0);
+    for _ in 0..30 {
+        let map = deal();
+        let demand = draw_demand(&mut rng);
+        let plan = plan_set(&demand, &paces, &map, &settings);
+        check(&plan.map, &map, &settings);
+        assert!((find_skew(&demand, &paces, &plan.map) - plan.after).abs() < 1e-9);
+        kept += plan.before / 30.0;
+        planned += plan.after / 30.0;
+    }
+    assert!(
+        kept > 2.0,
+        "the demand is too even to tell anything: {kept}"
+    );
+    assert!(
+        planned < 1.25,
+        "highest load over mean load after one plan: {planned}"
+    );
+}
+
+/// Guards against copies that are bought for nothing.
+#[test]
+fn steady_demand_costs_nothing() {
+    let demand = vec![10.0; EXPERTS];
+    let plan = plan_set(&demand, &[1.0; RANKS], &deal(), &Settings::default());
+    assert_eq!(plan.copies, 0);
+}
+
+/// Guards against a slow rank that keeps its experts and so slows every pass.
+#[test]
+fn slow_rank_gives_up_experts() {
+    let mut paces = vec![1.0; RANKS];
+    paces[3] = 8.0;
+    let mut map = deal();
+    let demand = vec![10.0; EXPERTS];
+    let before = find_skew(&demand, &paces, &map);
+    for _ in 0..3 {
+        map = plan_set(&demand, &paces, &map, &Settings::default()).map;
+    }
+    let after = find_skew(&demand, &paces, &map);
+    assert!(
+        after < before / 3.0,
+        "highest load {before} before and {after} after"
+    );
+}
--- /dev/null
+++ b/tests/integration/event_streams.rs
@@ -0,0 +1,54 @@
+//! Event streams that are cut into whole events and go on at another replica.
+
+use bytes::Bytes;
+use siskinbend_request::EventBuffer;
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn push(events: &mut EventBuffer, text: &str) -> String {
+    let whole = events
+        .push(Bytes::from(text.to_owned()))
+        .expect("short events");
+    String::from_utf8(whole.to_vec()).expect("text")
+}
+
+/// Guards against half an event reaching the caller before its replica breaks off.
+#[test]
+fn only_whole_events() {
+    let text: String = (1..=3).map(event).collect();
+    for cut in 0..text.len() {
+        let mut events = EventBuffer::default();
+        let first = push(&mut events, &text[..cut]);
+        assert!(
+            first.is_empty() || first.ends_with("\n\n"),
+            "cut at {cut}: {first:?}"
+        );
+        let rest = push(&mut events, &text[cut..]);
+        assert_eq!(first + &rest, text, "cut at {cut}");
+        assert!(!events.is_partial());
+    }
+}
+
+/// Guards against a piece that comes twice or is missing when a stream goes on elsewhere.
+#[test]
+fn goes_on_after_last() {
+    let mut events = EventBuffer::default();
+    let half = &event(3)[..9];
+    let first = push(&mut events, &format!("{}{}{half}", event(1), event(2)));
+    assert_eq!(events.last().map(|id| id.as_str()), Some("2"));
+    events.drop_partial();
+    let second = push(
+        &mut events,
+        &format!("{}{}{}", event(2), event(3), event(4)),
+    );
+    assert_eq!(first + &second, (1..=4).map(event).collect::<String>());
+}
+
+/// Guards against a caller that resumes and gets events that it has.
+#[test]
+fn caller_resumes() {
+    let mut events = EventBuffer::after(Some("7".into()));
+    assert_eq!(push(&mut events, &(event(7) + &event(8))), event(8));
+}
--- /dev/null
+++ b/tests/integration/platform_formats.rs
@@ -0,0 +1,150 @@
+//! The users' platform: settings, configuration, registry entries and headers, also malformed.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use siskinbend_platform::PlatformDialect;
+use siskinbend_platform::config::read_config;
+use siskinbend_platform::read_settings;
+use siskinbend_platform::servers::read_server;
+use siskinbend_site::Dialect;
+use siskinbend_site::Repeat;
+use siskinbend_site::SendHead;
+use siskinbend_site::ServerState;
+
+const SETTINGS: &str = "node=edge-1
+zone=ibadan
+ip=10.1.0.40
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+portRange=7340,7355
+platform.address=10.200.1.7:8223
+bounds.revokeMs=5000
+bounds.graceS=8
+something.new=1,2
+";
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+{"name":"a","host":"Shop.example","prefix":"/a/","kind":"streaming","timeoutMs":8000,
+"latencyGoalMs":400,"priority":1,"trafficSplit":[{"service":"s1","weight":90},
+{"service":"s2","weight":10}],"maxAttempts":2,"public":false,"streamResume":true},
+{"name":"b","host":"shop.example","prefix":"/a/b/","kind":"non_idempotent","timeoutMs":900,
+"service":"s2","maxAttempts":1,"public":true}],
+"services":[{"name":"s1","engine":{"slots":12,"sets":4,"experts":72,"placements":8,"spare":3}},
+{"name":"s2","maxConnections":96}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+"idleTimeoutMs":15000},
+"tenants":[{"name":"growers","apiKeys":["k1","k2"],"priority":1}]}"#;
+
+/// Guards against settings that are half understood.
+#[test]
+fn settings_are_checked() {
+    let settings = read_settings(SETTINGS).expect("the settings are complete");
+    assert_eq!(settings.peers, ([10, 1, 0, 40], 7340).into());
+    assert_eq!(settings.bounds.revoke, Duration::from_secs(5));
+    let broken = SETTINGS.replace("zone=ibadan\n", "").replace("7340,", "x,") + "nonsense\n";
+    let findings = read_settings(&broken).expect_err("three mistakes");
+    let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(texts.len(), 3, "{texts:?}");
+    assert!(
+        texts
+            .iter()
+            .any(|t| t.contains("zone") && t.contains("missing"))
+    );
+    assert!(
+        texts
+            .iter()
+            .any(|t| t.starts_with("line 5") && t.contains("portRange"))
+    );
+}
+
+/// Guards against a request that takes another route than the longest prefix.
+#[test]
+fn config_is_decoded() {
+    let config = read_config(CONFIG.as_bytes()).expect("a valid configuration");
+    let route = config
+        .find_route("shop.example:80", "/a/x")
+        .expect("a route");
+    assert_eq!((route.repeat, route.attempts), (Repeat::Resumable, 2));
+    assert_eq!(route.choose_service(89).map(|s| s.as_str()), Some("s1"));
+    assert_eq!(route.choose_service(95).map(|s| s.as_str()), Some("s2"));
+    let longer = config
+        .find_route("SHOP.example", "/a/b/c")
+        .expect("a route");
+    assert_eq!(longer.repeat, Repeat::Never);
+    assert!(config.find_route("shop.example", "/ab").is_none());
+    let keys = config.keys.as_ref().expect("keys are needed");
+    assert_eq!(
+        keys.get("k2").map(|k| k.organisation.as_str()),
+        Some("growers")
+    );
+    assert!(read_config(&CONFIG.as_bytes()[..300]).is_err());
+}
+
+/// Guards against an entry of another writer that takes requests or hides the others.
+#[test]
+fn entries_may_be_malformed() {
+    let good = r#"{"service":"s1","address":"10.1.0.9:80","zone":"a","slots":12,"state":"ready"}"#;
+    let server = read_server("i-1", good.as_bytes()).expect("a server");
+    assert_eq!((server.state, server.born), (ServerState::Ready, 0));
+    for broken in [
+        &good[..30],
+        &good.replace("ready", "sleeping"),
+        &good.replace("\"10.1.0.9:80\"", "7"),
+        &good.replace("\"slots\":12,", ""),
+        "\u{0}",
+    ] {
+        assert!(read_server("i-1", broken.as_bytes()).is_none(), "{broken}");
+    }
+}
+
+/// Guards against a key that is passed on, and against an organisation that the caller chose.
+#[test]
+fn headers_are_replaced() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("authorization", "Bearer k1"),
+        ("x-tenant", "somebody"),
+        ("x-target-instance", "i-9"),
+        ("x-request-id", "abc"),
+        ("x-deadline-ms", "8000"),
+    ] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    let call = PlatformDialect.read_call(&headers);
+    assert_eq!(call.key.as_deref(), Some("k1"));
+    assert_eq!(call.timeout, Some(Duration::from_secs(8)));
+    let head = SendHead {
+        target: "i-1".parse().expect("a valid name"),
+        timeout: Duration::from_millis(750),
+        organisation: Some("growers".parse().expect("a valid name")),
+        last_event: Some("12".into()),
+        urgency: None,
+    };
+    PlatformDialect.write_send(&mut headers, &head);
+    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+    assert_eq!(text("authorization"), None);
+    assert_eq!(text("x-tenant"), Some("growers"));
+    assert_eq!(text("x-target-instance"), Some("i-1"));
+    assert_eq!(text("x-deadline-ms"), Some("750"));
+    assert_eq!(text("last-event-id"), Some("12"));
+    assert_eq!(text("x-request-id"), Some("abc"));
+}
+
+/// Guards against an answer without proof that counts as "not run".
+#[test]
+fn proof_is_needed() {
+    let headers = HeaderMap::new();
+    assert!(!PlatformDialect.read_reply(503, &headers).not_run);
+    assert!(PlatformDialect.read_reply(421, &headers).not_run);
+    let mut headers = HeaderMap::new();
+    headers.insert("x-not-executed", HeaderValue::from_static("1"));
+    headers.insert("x-server-load", HeaderValue::from_static("3,1,8"));
+    let reply = PlatformDialect.read_reply(503, &headers);
+    assert!(reply.not_run);
+    assert_eq!(
+        reply.load.map(|l| (l.running, l.queued, l.slots)),
+        Some((3, 1, 8))
+    );
+}
