--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod platform;
 pub mod runs;
 pub mod server;
+pub mod site;
 pub mod switches;
 pub mod tally;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -13,6 +13,7 @@
 use siskinbend_standins::platform;
 use siskinbend_standins::runs;
 use siskinbend_standins::server;
+use siskinbend_standins::site;
 use siskinbend_standins::switches;
 
 /// Runs one stand-in of the platform or of a backend server, or a test caller
@@ -46,6 +47,9 @@
     /// Waits for map switches of a group and checks that no step used two maps
     #[bpaf(command)]
     Switches(#[bpaf(external(switches::options))] switches::Options),
+    /// The users' platform with its replicas; checks what gateways and rank agents serve
+    #[bpaf(command)]
+    Site(#[bpaf(external(site::options))] site::Options),
     /// Prints ports of 127.0.0.1 that are free for TCP and UDP
     #[bpaf(command)]
     Ports {
@@ -79,6 +83,7 @@
         Command::Load(options) => load::run(&options).await,
         Command::Runs(options) => runs::run(&options).await,
         Command::Switches(options) => switches::run(&options).await,
+        Command::Site(options) => site::run(options).await,
         Command::Ports { count } => server::print_ports(count),
     };
     match done {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -119,13 +119,13 @@
     }
 }
 
-/// Prints `count` ports of 127.0.0.1 that are free for both TCP and UDP, one a line.
+/// Finds `count` ports of 127.0.0.1 that are free for both TCP and UDP.
 ///
 /// # Errors
 /// Too few ports are free.
-pub fn print_ports(count: usize) -> Result<bool, BoxError> {
+pub fn free_ports(count: usize) -> Result<Vec<u16>, BoxError> {
     let mut held = Vec::new();
-    // All sockets stay open until the end, so that no port is printed twice.
+    // All sockets stay open until the end, so that no port is found twice.
     for _ in 0..count.saturating_mul(4) {
         if held.len() == count {
             break;
@@ -138,8 +138,17 @@
     if held.len() < count {
         return Err(format!("only {} of {count} ports are free", held.len()).into());
     }
-    for (tcp, _) in &held {
-        println!("{}", tcp.local_addr()?.port());
+    let port = |(tcp, _): &(BlockingListener, UdpSocket)| Ok(tcp.local_addr()?.port());
+    held.iter().map(port).collect()
+}
+
+/// Prints `count` free ports, one a line.
+///
+/// # Errors
+/// Too few ports are free.
+pub fn print_ports(count: usize) -> Result<bool, BoxError> {
+    for port in free_ports(count)? {
+        println!("{port}");
     }
     Ok(true)
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod fence;
 mod frames;
 mod freeze_wake;
+mod gateway_shell;
 mod graceful_drain;
 mod group_shell;
 mod half_cut_link;
