Log each decision from a thread of its own, and explain a request from the logs

Lines go through a bounded queue with a rate; what is dropped is counted and said. A test stalls the reader. siskinbend explain puts the lines of several processes into one story.

--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -52,13 +52,13 @@
             self.weights = vec![0.0; counts.len()];
             self.last.clear();
         }
-        let before = self.last.insert(rank, (epoch, counts.clone()));
-        let Some((_, before)) = before.filter(|(e, b)| *e == epoch && is_after(&counts, b)) else {
-            return;
-        };
-        for (weight, (new, old)) in self.weights.iter_mut().zip(counts.iter().zip(&before)) {
-            *weight += (new - old) as f64;
+        let before = self.last.get(&rank);
+        if let Some((_, before)) = before.filter(|(e, b)| *e == epoch && is_after(&counts, b)) {
+            for (weight, (new, old)) in self.weights.iter_mut().zip(counts.iter().zip(before)) {
+                *weight += (new - old) as f64;
+            }
         }
+        self.last.insert(rank, (epoch, counts));
     }
 
     /// The demand of each expert, set after set; `None` if too little was counted lately.
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The operator's commands.
 
 pub mod document;
+pub mod explain;
 pub mod offer;
 pub mod status;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
 use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
+use siskinbend_types::Version;
 use smol_str::SmolStr;
 
 use super::Gateway;
@@ -51,6 +52,8 @@
     pub service: ServiceName,
     pub organisation: Option<Organisation>,
     pub urgency: Option<u8>,
+    /// Version of the configuration that admitted it.
+    pub version: Version,
     pub received: Time,
     pub deadline: Time,
 }
@@ -130,10 +133,16 @@
         .choose(&call.service, attempts.avoid(), now)?;
     attempts.begin();
     let mut flight = Flight::new(gateway, target);
-    log::debug!(
+    log::info!(
         request:% = call.head.id,
+        service:% = call.service,
         server:% = flight.target.id,
-        attempt = attempts.sent();
+        attempt = attempts.sent(),
+        load = flight.target.load,
+        report_ms = flight.target.heard,
+        version:% = call.version,
+        after:? = last,
+        left_ms = call.left(now).as_millis() as u64;
         "attempt_sent"
     );
     let link = match open(gateway, call, &flight).await {
@@ -218,7 +227,7 @@
             fleet.observe(&flight.target.id, Some(load), now);
         }
     }
-    judge(call, flight, link, response, head)
+    judge(call, flight, link, response, &head)
 }
 
 fn judge(
@@ -226,7 +235,7 @@
     mut flight: Flight,
     link: Link,
     response: Response<Incoming>,
-    head: ReplyHead,
+    head: &ReplyHead,
 ) -> Result<Reply, Failure> {
     let status = response.status();
     let foreign = head.id.as_ref().is_some_and(|id| *id != call.head.id);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -56,6 +56,8 @@
 struct Peer {
     server: BackendServer,
     report: Report,
+    /// When the report was made.
+    reported: Time,
     pool: Pool,
 }
 
@@ -65,6 +67,10 @@
     pub id: AgentId,
     pub address: SocketAddr,
     pub service: ServiceName,
+    /// Requests that run or wait there, as last told.
+    pub load: u32,
+    /// Age of that figure in milliseconds.
+    pub heard: u64,
 }
 
 /// All backend servers.
@@ -127,6 +133,7 @@
                 let peer = Peer {
                     server,
                     report,
+                    reported: now,
                     pool: Pool::default(),
                 };
                 self.peers.insert(id.clone(), peer);
@@ -176,6 +183,7 @@
         let age = match report {
             Some((report, age)) => {
                 peer.report = report;
+                peer.reported = now;
                 age
             }
             None => Duration::MAX,
@@ -239,15 +247,13 @@
         let pick = self.service(service);
         let choice = pick.picker.choose(&wish, now, &mut rand::rng())?;
         pick.picker.sent(&choice.agent, now);
-        let address = self
-            .peers
-            .get(&choice.agent)
-            .map(|p| p.server.address)
-            .ok_or(Reason::NoReplica)?;
+        let peer = self.peers.get(&choice.agent).ok_or(Reason::NoReplica)?;
         Ok(Target {
             id: choice.agent,
-            address,
+            address: peer.server.address,
             service: service.clone(),
+            load: peer.report.total(),
+            heard: now.since(peer.reported).as_millis() as u64,
         })
     }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -125,9 +125,23 @@
         false => Done::Ok { first_token },
     });
     gateway.fleet().keep_link(&flight.target.id, link);
+    end_request(gateway, call, &flight.target, parts.status.as_u16());
     Ok(Held { parts, body })
 }
 
+/// Tells how a request ended that a backend server answered.
+pub(super) fn end_request(gateway: &Arc<Gateway>, call: &Call, target: &Target, status: u16) {
+    let took = gateway.now().since(call.received);
+    gateway.metrics.latency.observe(took.as_secs_f64());
+    log::info!(
+        request:% = call.head.id,
+        server:% = target.id,
+        status,
+        took_ms = took.as_millis() as u64;
+        "request_answered"
+    );
+}
+
 fn pass_on(held: Held) -> Response<Body> {
     let mut response = Response::from_parts(held.parts, whole(held.body));
     strip_connection(response.headers_mut());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -143,6 +143,7 @@
     Ok(Call {
         deadline: received + wait,
         received,
+        version: config.version,
         head,
         method: parts.method,
         uri: parts.uri,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -163,7 +163,8 @@
         if let Some(link) = self.link.take() {
             self.gateway.fleet().keep_link(&self.flight.target.id, link);
         }
-        log::debug!(request:% = self.call.head.id; "stream_ended");
+        let status = http::StatusCode::OK.as_u16();
+        plain::end_request(&self.gateway, &self.call, &self.flight.target, status);
     }
 
     /// Goes on at another replica after the last whole event.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -10,6 +10,10 @@
 use log::kv::Value;
 use log::kv::VisitSource;
 
+use crate::log_writer::Flush;
+use crate::log_writer::Limits;
+use crate::log_writer::LogWriter;
+
 /// Writes log lines of at least this level to standard error.
 ///
 /// # Errors
@@ -24,20 +28,36 @@
         .apply()
 }
 
-/// Writes log lines of at least this level to standard output.
+/// Why the log can't be written.
+#[derive(Debug, displaydoc::Display)]
+pub enum InitError {
+    /// the thread of the log can't be started: {0}
+    Thread(std::io::Error),
+    /// {0}
+    Logger(log::SetLoggerError),
+}
+
+impl std::error::Error for InitError {}
+
+/// Writes log lines of at least this level to standard output, never waiting for its reader.
 ///
 /// # Errors
 ///
 /// Returns an error if a logger is set already.
-pub fn init_stdout(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+pub fn init_stdout(level: log::LevelFilter) -> Result<Flush, InitError> {
+    let (writer, flush) =
+        LogWriter::start(std::io::stdout(), Limits::default()).map_err(InitError::Thread)?;
+    let writer: Box<dyn std::io::Write + Send> = Box::new(writer);
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for("siskinbend", level)
         .level_for("siskinbend_platform", level)
         .level_for("siskinbend_link", level)
         .format(|out, message, record| out.finish(format_args!("{}", format_line(message, record))))
-        .chain(std::io::stdout())
+        .chain(fern::Output::writer(writer, "\n"))
         .apply()
+        .map_err(InitError::Logger)?;
+    Ok(flush)
 }
 
 fn format_line(message: &std::fmt::Arguments<'_>, record: &Record<'_>) -> String {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -2,11 +2,13 @@
 
 use std::future::Future;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use siskinbend_site::NodeSettings;
 
 use crate::agent;
 use crate::command::document;
+use crate::command::explain;
 use crate::command::status;
 use crate::entry;
 use crate::gateway;
@@ -18,6 +20,8 @@
 use crate::settings::PlatformFlags;
 use crate::settings::command;
 
+/// Time for the last log lines to be written at the end of a process.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Exit status for wrong settings.
 const USAGE: u8 = 2;
 
@@ -49,6 +53,7 @@
             let file = flags.settings.clone();
             run_small(rank_agent::run(settings, file, engine, source))
         }),
+        Command::Explain(flags) => explain::run(&flags),
         Command::CheckSettings(flags) => check_settings(&flags),
         Command::Document(command) => run_command(document::run(command)),
         Command::Status(flags) => run_command(status::run(flags)),
@@ -64,11 +69,16 @@
         Ok(settings) => settings,
         Err(findings) => return report(&findings),
     };
-    if let Err(error) = logs::init_stdout(flags.log) {
-        eprintln!("error: {error}");
-        return ExitCode::FAILURE;
-    }
-    role(settings)
+    let flush = match logs::init_stdout(flags.log) {
+        Ok(flush) => flush,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let status = role(settings);
+    flush.wait(LAST_LINES);
+    status
 }
 
 fn check_settings(flags: &PlatformFlags) -> ExitCode {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -20,6 +20,8 @@
 
 use crate::command::document::DocumentCommand;
 use crate::command::document::document_command;
+use crate::command::explain::ExplainFlags;
+use crate::command::explain::explain_flags;
 use crate::command::status::StatusFlags;
 use crate::command::status::status_flags;
 use crate::limits;
@@ -43,6 +45,9 @@
     /// Runs an agent beside one rank of an engine group
     #[bpaf(command("rank-agent"))]
     RankAgent(#[bpaf(external(platform_flags))] PlatformFlags),
+    /// Puts the log lines of several processes about one request into one story
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_flags))] ExplainFlags),
     /// Checks the settings file of a platform
     #[bpaf(command("check-settings"))]
     CheckSettings(#[bpaf(external(platform_flags))] PlatformFlags),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod entry_kill;
 mod even_placement;
 mod event_streams;
+mod explaining;
 mod fence;
 mod frames;
 mod freeze_wake;
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -279,18 +279,15 @@
         if rng.random_bool(trouble.reopened) {
             group.reopen();
         }
-        for leader in 0..COORDINATORS {
-            if leader > 0 && !trouble.rivals {
-                continue;
-            }
-            let own = all[leader].own;
+        let leading = if trouble.rivals { COORDINATORS } else { 1 };
+        for leader in all.iter_mut().take(leading) {
             if rng.random_bool(trouble.killed) {
-                all[leader] = Coordinator::new(own);
+                *leader = Coordinator::new(leader.own);
             }
             if rng.random_bool(trouble.frozen) {
-                all[leader].wakes = tick + rng.random_range(1..60);
+                leader.wakes = tick + rng.random_range(1..60);
             }
-            if all[leader].wakes > tick {
+            if leader.wakes > tick {
                 continue;
             }
             let seen: Vec<Option<RankState>> = group
@@ -300,7 +297,7 @@
                 .collect();
             let highest = group.ranks.iter().map(|r| r.highest).max().unwrap_or(0);
             let version = ((highest >> 24) + 1) << 24 | u64::from(rng.random::<u32>() >> 8);
-            let round = all[leader].act(&seen, version, Time::from_millis(tick * 20));
+            let round = leader.act(&seen, version, Time::from_millis(tick * 20));
             group.switched += u32::from(round.ended == Some(Ended::Switched));
             for (rank, order) in round.orders {
                 if rng.random_bool(trouble.late) {
