Steer large groups: read what is needed, tell differences, keep to the engine's limits

Change: beats grow with the group, agents tell differences, only ranks that are not ready are read again, limits come from the configuration, changes of the registry gather for 250 ms; a call that waited in vain confirms the configuration.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -7,13 +7,14 @@
 //! ranks are armed it lets the pass begin; otherwise it first makes one unarmed rank prepare a
 //! higher version, after which the switch can never be completed, and only then disarms the others.
 //!
-//! Both are driven by the states that are read from the ranks after each round of orders; the
-//! answers to orders are not trusted. The argument is in docs/decisions/0008-map-orders.md.
+//! Both are driven by the states that are read from the ranks after each round of orders. The
+//! argument is in docs/decisions/0008-map-orders.md.
 
 use std::time::Duration;
 
 use siskinbend_site::engine::Armed;
 use siskinbend_site::engine::Order;
+use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
 use siskinbend_site::engine::RankState;
 use siskinbend_site::engine::Task;
@@ -106,6 +107,10 @@
     begun: Time,
     /// When each rank was last asked to prepare the map.
     asked: Vec<Option<Time>>,
+    /// Ranks that have prepared the map.
+    ready: Vec<bool>,
+    /// Ranks that are armed.
+    armed: Vec<bool>,
 }
 
 impl Switch {
@@ -117,12 +122,29 @@
             phase: Phase::Preparing,
             begun: now,
             asked: vec![None; size],
+            ready: vec![false; size],
+            armed: vec![false; size],
         }
     }
 
-    /// Takes in that an order got no answer: it is given again in the next round.
-    pub fn miss_answer(&mut self, rank: usize) {
-        self.asked[rank] = None;
+    /// Takes in the answer to an order. One that got none is given again in the next round; a
+    /// rank that says that it is armed is.
+    pub fn hear(&mut self, rank: usize, order: &Order, reply: OrderReply) {
+        match (&order.task, reply) {
+            (_, OrderReply::Unknown) => self.asked[rank] = None,
+            (Task::Arm(_), OrderReply::Holds) => self.armed[rank] = true,
+            _ => {}
+        }
+    }
+
+    /// Whether a rank has to be read again before the next round. What it said before may be old,
+    /// but a rank that was prepared or armed for this switch stays so, or refuses the next order.
+    pub fn needs(&self, rank: usize) -> bool {
+        match self.phase {
+            Phase::Preparing => !self.ready[rank],
+            Phase::Arming { .. } => !self.armed[rank],
+            Phase::Holding { .. } | Phase::Releasing { .. } => rank == self.goal.own,
+        }
     }
 
     /// The pass that is or was held, if any.
@@ -155,12 +177,11 @@
     fn prepare(&mut self, seen: &[Option<RankState>], now: Time) -> Round {
         let version = self.goal.version;
         let mut round = Round::default();
-        let mut ready = 0;
         for (rank, state) in seen.iter().enumerate() {
             let Some(state) = state else { continue };
             let newest = state.map.max(state.prepared.unwrap_or(0));
             if state.prepared == Some(version) && state.armed.is_none() {
-                ready += 1;
+                self.ready[rank] = true;
             } else if newest > version || state.armed.is_some() {
                 return Round::end(Ended::Abandoned);
             } else if self.asked[rank].is_none_or(|at| now.since(at) >= PREPARE_AGAIN) {
@@ -173,7 +194,7 @@
                 round.orders.push((rank, Order { task, epoch }));
             }
         }
-        if ready == seen.len() {
+        if self.ready.iter().all(|ready| *ready) {
             return self.choose_pass(seen, 0);
         }
         if now.since(self.begun) > PREPARE_TIME {
@@ -216,11 +237,12 @@
         let version = self.goal.version;
         let wanted = Armed { version, step };
         let mut round = Round::default();
-        let mut armed = 0;
         for (rank, state) in seen.iter().enumerate() {
-            let Some(state) = state else { continue };
+            let Some(state) = state.as_ref().filter(|_| !self.armed[rank]) else {
+                continue;
+            };
             if state.armed == Some(wanted) {
-                armed += 1;
+                self.armed[rank] = true;
             } else if state.prepared != Some(version) {
                 return Round::end(Ended::Blocked);
             } else {
@@ -229,33 +251,32 @@
                 round.orders.push((rank, Order { task, epoch }));
             }
         }
-        if armed < seen.len() {
+        if self.armed.iter().any(|armed| !armed) {
             return round;
         }
         self.phase = Phase::Releasing { step };
         self.release(seen, step)
     }
 
-    /// Lets the pass begin; stays until it has begun, because a late copy of a hold could stop it
-    /// again. All ranks are armed, so no earlier pass needs to be held either.
+    /// Lets the pass begin. A late copy of the hold may stop it again, which a recovery ends.
     fn release(&mut self, seen: &[Option<RankState>], step: u64) -> Round {
-        let mut round = Round::default();
-        for (rank, state) in seen.iter().enumerate() {
-            let held = state.as_ref().and_then(|s| s.held);
-            if let Some(step) = held.filter(|held| *held <= step) {
-                let task = Task::Go { step };
-                let epoch = self.goal.epoch;
-                round.orders.push((rank, Order { task, epoch }));
+        match &seen[self.goal.own] {
+            None => Round::default(),
+            Some(own) if own.held == Some(step) => {
+                Round::one(self.goal.own, Task::Go { step }, self.goal.epoch)
             }
+            Some(_) => Round::end(Ended::Switched),
         }
-        let begun = seen[self.goal.own].as_ref().is_some_and(|s| s.step >= step);
-        if begun && round.orders.is_empty() {
-            return Round::end(Ended::Switched);
-        }
-        round
     }
 }
 
+/// The rank at which the earliest held pass is held, and that pass.
+pub fn find_hold(states: &[RankState]) -> Option<(usize, u64)> {
+    let holds = states.iter().enumerate();
+    let holds = holds.filter_map(|(rank, state)| Some((rank, state.held?)));
+    holds.min_by_key(|(_, pass)| *pass)
+}
+
 /// Ends a switch that its coordinator left unfinished.
 #[derive(Debug)]
 pub struct Recovery {
--- a/crates/placement/src/even.rs
+++ b/crates/placement/src/even.rs
@@ -83,6 +83,8 @@
     /// Time that each rank's tokens take, in tokens of a rank of the usual pace.
     loads: Vec<f64>,
     paces: &'demand [f64],
+    /// Sum over the ranks of the load over the mean, to the power of the objective.
+    power: f64,
     copied: Vec<usize>,
     start: &'demand SetMap,
     mean: f64,
@@ -140,6 +142,7 @@
             copied: vec![0; map.len()],
             start: map,
             paces,
+            power: 0.0,
             mean: (total / speed.max(LEAST_PACE)).max(f64::MIN_POSITIVE),
         };
         for expert in 0..demand.len() {
@@ -152,7 +155,10 @@
     fn put(&mut self, expert: usize, sign: f64) {
         let share = self.demand[expert] / self.holders[expert].len().max(1) as f64;
         for rank in &self.holders[expert] {
-            self.loads[*rank] += sign * share * self.paces[*rank].max(LEAST_PACE);
+            let load = &mut self.loads[*rank];
+            self.power -= (*load / self.mean).powi(POWER);
+            *load += sign * share * self.paces[*rank].max(LEAST_PACE);
+            self.power += (*load / self.mean).powi(POWER);
         }
     }
 
@@ -160,9 +166,10 @@
         self.loads.iter().copied().fold(0.0, f64::max)
     }
 
-    fn objective(&self) -> f64 {
+    /// Adds the objective up anew, so that rounding errors of many trials don't pile up.
+    fn sum_power(&mut self) {
         let part = |load: &f64| (load / self.mean).powi(POWER);
-        self.loads.iter().map(part).sum()
+        self.power = self.loads.iter().map(part).sum();
     }
 
     /// Experts of all ranks that they did not have at the start.
@@ -179,7 +186,8 @@
     /// The change that improves the objective most for each copy.
     fn find_change(&mut self, settings: &Settings) -> Option<Change> {
         let order = self.rank_order();
-        let base = self.objective();
+        self.sum_power();
+        let base = self.power;
         let mut best: Option<(f64, Change)> = None;
         for hot in order.iter().take(HOT_RANKS).copied() {
             for expert in self.list_heavy(hot) {
@@ -262,7 +270,7 @@
     /// The objective after a change, which is taken back.
     fn try_change(&mut self, change: &Change) -> f64 {
         self.shift(change, false);
-        let value = self.objective();
+        let value = self.power;
         self.shift(change, true);
         value
     }
--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -1,9 +1,8 @@
-//! Recent demand for each expert, from counts that ranks keep since their start.
+//! Recent demand for each expert, from what the ranks tell at every beat.
 //!
 //! Answers the load pattern of a demand that shifts every few seconds: old counts fade quickly, and
 //! a rank that restarts or stays silent does not distort the rest.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use siskinbend_types::Time;
@@ -26,12 +25,36 @@
     }
 }
 
+/// What one rank's requests chose since the leader was last told.
+#[derive(Debug, Clone, Default)]
+pub struct Meter {
+    /// Epoch and counts that were told last.
+    told: Option<(u64, Vec<u64>)>,
+}
+
+impl Meter {
+    /// The choices since the last ones that were told; none if the rank has started anew.
+    pub fn measure(&self, epoch: u64, counts: &[u64]) -> Vec<u32> {
+        match &self.told {
+            Some((known, told)) if *known == epoch && is_after(counts, told) => {
+                let chosen =
+                    |(new, old): (&u64, &u64)| u32::try_from(new - old).unwrap_or(u32::MAX);
+                counts.iter().zip(told).map(chosen).collect()
+            }
+            _ => vec![0; counts.len()],
+        }
+    }
+
+    /// Notes that a leader has taken in what was measured.
+    pub fn confirm(&mut self, epoch: u64, counts: Vec<u64>) {
+        self.told = Some((epoch, counts));
+    }
+}
+
 /// Recent demand of a group.
 #[derive(Debug, Clone, Default)]
 pub struct Recent {
     settings: Settings,
-    /// The newest counts of each rank, with the epoch in which they were made.
-    last: HashMap<u16, (u64, Vec<u64>)>,
     weights: Vec<f64>,
     faded: Time,
 }
@@ -45,20 +68,13 @@
         }
     }
 
-    /// Adds the counts of a rank: how often each expert was chosen since the rank started.
-    pub fn add(&mut self, rank: u16, epoch: u64, counts: Vec<u64>, now: Time) {
+    /// Adds how often a rank's requests chose each expert lately.
+    pub fn add(&mut self, chosen: &[u32], now: Time) {
         self.fade(now);
-        if self.weights.len() != counts.len() {
-            self.weights = vec![0.0; counts.len()];
-            self.last.clear();
-        }
-        let before = self.last.get(&rank);
-        if let Some((_, before)) = before.filter(|(e, b)| *e == epoch && is_after(&counts, b)) {
-            for (weight, (new, old)) in self.weights.iter_mut().zip(counts.iter().zip(before)) {
-                *weight += (new - old) as f64;
-            }
+        self.weights.resize(chosen.len(), 0.0);
+        for (weight, chosen) in self.weights.iter_mut().zip(chosen) {
+            *weight += f64::from(*chosen);
         }
-        self.last.insert(rank, (epoch, counts));
     }
 
     /// The demand of each expert, set after set; `None` if too little was counted lately.
@@ -79,5 +95,5 @@
 }
 
 fn is_after(new: &[u64], old: &[u64]) -> bool {
-    new.iter().zip(old).all(|(new, old)| new >= old)
+    new.len() == old.len() && new.iter().zip(old).all(|(new, old)| new >= old)
 }
--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -20,8 +20,9 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(1_900);
 /// Age of the configuration above which "there is no such route or key" is not certain.
 const CERTAIN_AGE: Duration = Duration::from_millis(2_600);
-/// Margin kept to the time after which a key that was taken away may not be used.
-const REVOKE_MARGIN: Duration = Duration::from_millis(500);
+/// Margin kept to the time after which a key that was taken away may not be used. A store may
+/// for a second tell nothing of the changes that it takes.
+const REVOKE_MARGIN: Duration = Duration::from_millis(1_200);
 
 /// Limits of a view.
 #[derive(Debug, Clone, Copy)]
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -40,8 +40,9 @@
 const RATIO_USED: f64 = 0.7;
 /// Time for which a group counts as closed after it was last seen so.
 const CLOSED_TIME: Duration = Duration::from_millis(800);
-/// Replicas that the choice compares; enough for all replicas of an availability zone.
-const CHOICES: usize = 16;
+/// Random replicas that the choice compares. More would make gateways that hold the same report
+/// choose the same replica.
+const CHOICES: usize = 4;
 
 /// One service with its replicas.
 struct Pick {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -12,13 +12,16 @@
 use super::Gateway;
 use super::TICK;
 
-/// Time for which one call waits for a change of the configuration. Two calls must fit into the
-/// age up to which the configuration is certain.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which one call waits for a change of the configuration; it must be shorter than the age
+/// up to which the configuration is certain.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_000);
 /// Time for which one call waits for a change of the registry.
-const SERVERS_WAIT: Duration = Duration::from_millis(1_500);
+const SERVERS_WAIT: Duration = Duration::from_millis(2_000);
+/// Time for which changes of the registry gather after one, so that many servers that start
+/// together take few calls. A leaving server is known well within the two seconds that it grants.
+const GATHER_TIME: Duration = Duration::from_millis(250);
 /// Interval at which all is read anew, in case a change was not told.
-const REREAD: Duration = Duration::from_secs(9);
+const REREAD: Duration = Duration::from_secs(14);
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -95,7 +98,8 @@
     let mut trouble = Trouble::new("config");
     loop {
         let asked = gateway.now();
-        let answer = match position.filter(Position::is_current) {
+        let known = position.filter(Position::is_current);
+        let answer = match known {
             Some(known) => source.await_config(known.after, CONFIG_WAIT).await,
             None => source.read_config().await,
         };
@@ -103,13 +107,19 @@
         match answer {
             Ok(change) => {
                 trouble.clear(now);
-                let read = match position.filter(Position::is_current) {
+                let read = match known {
                     Some(known) => known.read,
                     None => Instant::now(),
                 };
                 let after = change.position;
                 position = Some(Position { after, read });
-                take_config(&gateway, change.content, asked, now);
+                // A call that waited in vain tells that nothing changed while it waited.
+                let waited = known.is_some() && change.content.is_none();
+                let confirmed = match waited && now.since(asked) >= CONFIG_WAIT {
+                    true => asked + CONFIG_WAIT,
+                    false => asked,
+                };
+                take_config(&gateway, change.content, confirmed, now);
             }
             Err(SourceError::HistoryGone) => position = None,
             Err(error) => trouble.wait(error, now).await,
@@ -156,7 +166,11 @@
             Ok((after, read, updates)) => {
                 trouble.clear(now);
                 position = Some(Position { after, read });
+                let changed = !updates.is_empty();
                 gateway.fleet().apply(updates, now);
+                if changed {
+                    sleep(GATHER_TIME).await;
+                }
             }
             Err(SourceError::HistoryGone) => position = None,
             Err(error) => {
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -25,12 +25,12 @@
 
 use roster::Roster;
 
-/// Interval at which a rank is read and its counts are passed on.
-const BEAT: Duration = Duration::from_millis(125);
 /// Interval at which the registry is read.
-const REGISTRY_READ: Duration = Duration::from_secs(15);
+const REGISTRY_READ: Duration = Duration::from_secs(20);
+/// Pause after a registry that lacks a rank of the group.
+const REGISTRY_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after the registry could not be read.
-const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
+const REGISTRY_PAUSE: Duration = Duration::from_millis(800);
 
 /// State of an agent that its tasks share.
 pub(crate) struct Agent {
@@ -126,7 +126,7 @@
                 if agent.roster().set_members(ranks) {
                     REGISTRY_READ
                 } else {
-                    REGISTRY_PAUSE
+                    REGISTRY_WAIT
                 }
             }
             Err(error) => {
--- a/src/rank_agent/push.rs
+++ b/src/rank_agent/push.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use siskinbend_placement::recent::Meter;
+use siskinbend_site::engine::Counts;
 use siskinbend_site::engine::Placement;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::sleep;
 
 use super::Agent;
-use super::BEAT;
 use super::roster::Push;
 use crate::peer::PUSH_PATH;
 
@@ -21,17 +21,19 @@
 /// Reads the rank at every beat and passes on what it tells.
 pub(super) async fn run(agent: Arc<Agent>) {
     let mut known: Option<Known> = None;
-    let mut beats = interval(BEAT);
-    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut meter = Meter::default();
     loop {
-        beats.tick().await;
-        if let Some(push) = read(&agent, &mut known).await {
+        let beat = agent.roster().find_beat();
+        sleep(beat).await;
+        if let Some((push, counts)) = read(&agent, &mut known, &meter).await {
+            let epoch = push.state.epoch;
             tell(&agent, push).await;
+            meter.confirm(epoch, counts.counts);
         }
     }
 }
 
-async fn read(agent: &Agent, known: &mut Option<Known>) -> Option<Push> {
+async fn read(agent: &Agent, known: &mut Option<Known>, meter: &Meter) -> Option<(Push, Counts)> {
     let state = agent.engine.read_state(agent.own).await?;
     let counts = agent.engine.read_counts(agent.own).await?;
     let current = known
@@ -54,12 +56,13 @@
         });
     }
     let placement = known.as_ref()?.placement.clone();
-    Some(Push {
+    let push = Push {
         rank: agent.own,
+        chosen: meter.measure(state.epoch, &counts.counts),
         state,
-        counts,
         placement,
-    })
+    };
+    Some((push, counts))
 }
 
 /// Tells the first agent that answers; an agent that finds none before itself leads.
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -11,23 +11,32 @@
 use serde::Deserialize;
 use serde::Serialize;
 use siskinbend_groups::orders::MOST_LEAD;
+use siskinbend_placement::even::Settings;
 use siskinbend_placement::recent::Recent;
-use siskinbend_site::engine::Counts;
 use siskinbend_site::engine::Placement;
 use siskinbend_site::engine::RankState;
 use siskinbend_types::Time;
 
 use crate::peer::RankLoad;
 
+/// Time that each rank of a group adds to the interval between two reports to its leader.
+const BEAT_PER_RANK: Duration = Duration::from_millis(6);
+/// Shortest interval between two reports.
+pub(super) const SHORTEST_BEAT: Duration = Duration::from_millis(120);
+/// Longest interval between two reports.
+const LONGEST_BEAT: Duration = Duration::from_millis(700);
 /// Time for which a silent agent is passed over when counts are passed on.
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// Age at which what an agent told counts no more.
-const STALE: Duration = Duration::from_millis(1_200);
+const STALE: Duration = Duration::from_millis(1_800);
 
 /// Time after which a group whose next pass is held counts as closed.
 const HELD_TIME: Duration = Duration::from_millis(350);
 /// Age at which a rank is read without its agent.
-const SILENT: Duration = Duration::from_millis(800);
+const SILENT: Duration = Duration::from_millis(1_000);
+
+/// Time after which the limits on placements are read again.
+const LIMITS_TIME: Duration = Duration::from_secs(30);
 
 /// What an agent tells the leader of its group.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -35,7 +44,8 @@
     /// Address of the rank.
     pub rank: SocketAddr,
     pub state: RankState,
-    pub counts: Counts,
+    /// How often its requests chose each expert since the last push, set after set.
+    pub chosen: Vec<u32>,
     /// The rank's experts by set, as of the map in force.
     pub placement: Placement,
 }
@@ -55,6 +65,8 @@
     told: BTreeMap<SocketAddr, Told>,
     /// Epoch, and the pass after which this agent may hold one.
     floor: Option<(u64, u64)>,
+    /// Limits on placements, and when they were read.
+    limits: Option<(Settings, Time)>,
     /// Since when the next pass has been held.
     held: Option<Time>,
     pub demand: Recent,
@@ -68,14 +80,23 @@
             passed: BTreeMap::new(),
             told: BTreeMap::new(),
             floor: None,
+            limits: None,
             held: None,
             demand: Recent::new(Default::default()),
         }
     }
 
-    /// Takes in the registered ranks; false if this agent's own one is not among them yet.
+    /// Interval at which a rank is read and its counts are passed on. A larger group takes longer,
+    /// so that its leader hears at most about 160 ranks a second.
+    pub fn find_beat(&self) -> Duration {
+        let size = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        (BEAT_PER_RANK * size).clamp(SHORTEST_BEAT, LONGEST_BEAT)
+    }
+
+    /// Takes in the registered ranks; false if some of the group are not among them yet.
     pub fn set_members(&mut self, ranks: BTreeSet<SocketAddr>) -> bool {
-        let complete = ranks.contains(&self.own);
+        let size = self.told.values().map(|told| told.push.state.size).max();
+        let complete = ranks.contains(&self.own) && ranks.len() >= usize::from(size.unwrap_or(2));
         self.members = ranks;
         self.members.insert(self.own);
         complete
@@ -106,9 +127,7 @@
 
     /// Takes in what an agent told.
     pub fn hear(&mut self, push: Push, now: Time) {
-        let counts = push.counts.counts.clone();
-        self.demand
-            .add(push.state.rank, push.state.epoch, counts, now);
+        self.demand.add(&push.chosen, now);
         self.note(push, now, false);
     }
 
@@ -134,7 +153,8 @@
 
     /// Ranks whose agents are silent, if this agent leads and hears most of the others.
     pub fn list_silent(&self, now: Time) -> Vec<SocketAddr> {
-        let fresh = |told: &Told| now.since(told.heard) <= SILENT;
+        let most = SILENT.max(self.find_beat() * 2);
+        let fresh = |told: &Told| now.since(told.heard) <= most;
         let heard = self.told.values().filter(|told| fresh(told)).count();
         if !self.list_candidates(now).is_empty() || heard * 2 < self.members.len() {
             return Vec::new();
@@ -190,6 +210,24 @@
         fresh
     }
 
+    /// Limits on placements, if they were read lately.
+    pub fn find_limits(&self, now: Time) -> Option<Settings> {
+        let (limits, read) = self.limits?;
+        (now.since(read) <= LIMITS_TIME).then_some(limits)
+    }
+
+    /// Notes limits on placements that were just read.
+    pub fn set_limits(&mut self, limits: Settings, now: Time) {
+        self.limits = Some((limits, now));
+    }
+
+    /// Goes on with the known limits while the configuration can't be read.
+    pub fn keep_limits(&mut self, now: Time) -> Option<Settings> {
+        let (_, read) = self.limits.as_mut()?;
+        *read = now;
+        self.limits.map(|(limits, _)| limits)
+    }
+
     /// The pass after which this agent may hold one; `step` is the pass that was begun last.
     ///
     /// An earlier run of this agent may have held a pass at the same rank, and its release may
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -10,9 +10,9 @@
 use siskinbend_groups::orders::Recovery;
 use siskinbend_groups::orders::Round;
 use siskinbend_groups::orders::Switch;
+use siskinbend_groups::orders::find_hold;
 use siskinbend_placement::even::Settings;
 use siskinbend_placement::even::plan_set;
-use siskinbend_site::engine::Counts;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
@@ -21,13 +21,13 @@
 use tokio::time::sleep;
 
 use super::Agent;
-use super::BEAT;
 use super::roster::Push;
+use super::roster::SHORTEST_BEAT;
 use crate::peer::ORDER_PATH;
 use crate::peer::STATE_PATH;
 
 /// Pause between two looks at ranks that copy experts.
-const COPY_PAUSE: Duration = Duration::from_millis(40);
+const COPY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two looks at ranks that have to answer at once.
 const SHORT_PAUSE: Duration = Duration::from_millis(4);
 /// Time for which a hold without a known switch is left to its coordinator.
@@ -51,7 +51,7 @@
     let mut orphan: Option<Time> = None;
     while !agent.shutdown.is_draining() {
         tokio::select! {
-            () = sleep(BEAT) => {}
+            () = sleep(SHORTEST_BEAT) => {}
             () = agent.shutdown.wait() => return,
         }
         let now = agent.now();
@@ -60,10 +60,10 @@
             orphan = None;
             continue;
         };
-        if let Some(rank) = group.states.iter().position(|s| s.held.is_some()) {
+        if find_hold(&group.states).is_some() {
             let since = *orphan.get_or_insert(now);
             if now.since(since) >= ORPHAN_TIME {
-                recover(agent, &group, rank).await;
+                recover(agent, &group).await;
                 orphan = None;
             }
             continue;
@@ -89,7 +89,7 @@
         Some(Push {
             rank,
             state,
-            counts: Counts::default(),
+            chosen: Vec::new(),
             placement,
         })
     });
@@ -154,7 +154,9 @@
     };
     let sets = group.map.len();
     let experts = demand.len() / sets.max(1);
-    let settings = Settings::default();
+    let Some(settings) = find_limits(agent, now).await else {
+        return;
+    };
     let paces: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
     let (mut map, mut before, mut after, mut copies) = (Vec::new(), 0.0, 0.0, 0);
     for (set, present) in group.map.iter().enumerate() {
@@ -195,22 +197,39 @@
         "switch_started"
     );
     let mut switch = Switch::new(goal, group.ranks.len(), now);
-    let ended = drive(agent, &group.ranks, |seen, unanswered, now| {
-        for rank in unanswered {
-            switch.miss_answer(*rank);
-        }
-        let round = switch.advance(seen, now);
-        (round, switch.held_pass().is_some())
-    })
-    .await;
+    let ended = drive(agent, &group.ranks, &mut switch).await;
     if let Some(pass) = switch.held_pass() {
         agent.roster().hold_pass(pass);
     }
     let took = agent.now().since(now).as_millis() as u64;
     log::info!(version, outcome:% = describe(ended), took_ms = took; "switch_ended");
     if ended == Some(Ended::Blocked) {
-        recover(agent, group, own).await;
+        recover(agent, group).await;
+    }
+}
+
+/// Limits of the service's engines on placements, read from the configuration now and then.
+async fn find_limits(agent: &Agent, now: Time) -> Option<Settings> {
+    let known = agent.roster().find_limits(now);
+    if known.is_some() {
+        return known;
     }
+    let service = agent.settings.service.as_ref()?;
+    let config = match agent.source.read_config().await {
+        Ok(change) => change.content?,
+        Err(error) => {
+            log::warn!(matter = "config", error:% = error; "store_lost");
+            return agent.roster().keep_limits(now);
+        }
+    };
+    let engine = config.find_service(service)?.engine.as_ref()?;
+    let limits = Settings {
+        places: usize::from(engine.places),
+        spare: usize::from(engine.spare),
+        ..Settings::default()
+    };
+    agent.roster().set_limits(limits, now);
+    Some(limits)
 }
 
 /// The pass after which a new switch may hold one, if every rank is fresh and calm.
@@ -224,23 +243,20 @@
 }
 
 /// Ends the switch whose pass is held at a rank.
-async fn recover(agent: &Arc<Agent>, group: &Group, rank: usize) {
+async fn recover(agent: &Arc<Agent>, group: &Group) {
     let seen = read_fresh(agent, &group.ranks).await;
-    let states: Vec<RankState> = seen.into_iter().flatten().collect();
-    let Some((epoch, step)) = states
-        .iter()
-        .find(|s| usize::from(s.rank) == rank)
-        .and_then(|s| Some((s.epoch, s.held?)))
-    else {
+    let states: Option<Vec<RankState>> = seen.into_iter().collect();
+    let Some(states) = states else {
         return;
     };
+    let Some((rank, step)) = find_hold(&states) else {
+        return;
+    };
+    let epoch = states[rank].epoch;
     let version = draw_version(&states);
     log::warn!(rank, step, version; "recovery_started");
     let mut recovery = Recovery::new(rank, step, epoch, version, group.map.clone());
-    let ended = drive(agent, &group.ranks, |seen, _, _| {
-        (recovery.advance(seen), true)
-    })
-    .await;
+    let ended = drive(agent, &group.ranks, &mut recovery).await;
     log::warn!(rank, step, outcome:% = describe(ended); "recovery_ended");
 }
 
@@ -248,36 +264,86 @@
     ended.map_or_else(|| "it took too long".to_owned(), |e| e.to_string())
 }
 
-/// Reads the ranks, gives the orders of a round, and so on until it has ended.
-async fn drive<Advance>(
-    agent: &Arc<Agent>,
-    ranks: &[SocketAddr],
-    mut advance: Advance,
-) -> Option<Ended>
+/// Work that is done in rounds of reads and orders.
+trait Rounds {
+    fn advance(&mut self, seen: &[Option<RankState>], now: Time) -> Round;
+
+    fn hear(&mut self, rank: usize, order: &Order, reply: OrderReply);
+
+    /// Whether a rank has to be read again before the next round.
+    fn needs(&self, rank: usize) -> bool;
+
+    /// Whether the group may stand still until the work is done.
+    fn is_urgent(&self) -> bool;
+}
+
+impl Rounds for Switch {
+    fn advance(&mut self, seen: &[Option<RankState>], now: Time) -> Round {
+        Switch::advance(self, seen, now)
+    }
+
+    fn hear(&mut self, rank: usize, order: &Order, reply: OrderReply) {
+        Switch::hear(self, rank, order, reply);
+    }
+
+    fn needs(&self, rank: usize) -> bool {
+        Switch::needs(self, rank)
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.held_pass().is_some()
+    }
+}
+
+impl Rounds for Recovery {
+    fn advance(&mut self, seen: &[Option<RankState>], _now: Time) -> Round {
+        Recovery::advance(self, seen)
+    }
+
+    fn hear(&mut self, _rank: usize, _order: &Order, _reply: OrderReply) {}
+
+    fn needs(&self, _rank: usize) -> bool {
+        true
+    }
+
+    fn is_urgent(&self) -> bool {
+        true
+    }
+}
+
+/// Reads the ranks, gives the orders of a round, and so on until the work has ended.
+async fn drive<Work>(agent: &Arc<Agent>, ranks: &[SocketAddr], work: &mut Work) -> Option<Ended>
 where
-    Advance: FnMut(&[Option<RankState>], &[usize], Time) -> (Round, bool),
+    Work: Rounds,
 {
     let begun = agent.now();
-    let mut unanswered: Vec<usize> = Vec::new();
+    let mut seen = read_fresh(agent, ranks).await;
     while agent.now().since(begun) < DRIVE_TIME {
-        let seen = read_fresh(agent, ranks).await;
-        let (round, urgent) = advance(&seen, &unanswered, agent.now());
+        let round = work.advance(&seen, agent.now());
         if round.ended.is_some() {
             return round.ended;
         }
         let idle = round.orders.is_empty();
         let given = round.orders.into_iter().map(|(rank, order)| {
             let address = ranks[rank];
-            async move { (rank, give(agent, address, &order).await) }
+            async move {
+                let reply = give(agent, address, &order).await;
+                (rank, order, reply)
+            }
         });
-        unanswered = join_all(given)
-            .await
-            .into_iter()
-            .filter(|(_, reply)| *reply == OrderReply::Unknown)
-            .map(|(rank, _)| rank)
-            .collect();
-        if idle {
-            sleep(if urgent { SHORT_PAUSE } else { COPY_PAUSE }).await;
+        for (rank, order, reply) in join_all(given).await {
+            work.hear(rank, &order, reply);
+        }
+        match (work.is_urgent(), idle) {
+            (true, true) => sleep(SHORT_PAUSE).await,
+            (true, false) => {}
+            (false, _) => sleep(COPY_PAUSE).await,
+        }
+        let needed: Vec<usize> = (0..ranks.len()).filter(|rank| work.needs(*rank)).collect();
+        let addresses: Vec<SocketAddr> = needed.iter().map(|rank| ranks[*rank]).collect();
+        let read = read_fresh(agent, &addresses).await;
+        for (rank, state) in needed.into_iter().zip(read) {
+            seen[rank] = state;
         }
     }
     None
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -35,6 +35,7 @@
 mod queue;
 mod rate_limits;
 mod rebalance;
+mod recent_demand;
 mod relay;
 mod request_history;
 mod request_random;
--- /dev/null
+++ b/tests/integration/recent_demand.rs
@@ -0,0 +1,58 @@
+//! Recent demand for experts, from what the ranks of a group tell.
+
+use siskinbend_placement::recent::Meter;
+use siskinbend_placement::recent::Recent;
+use siskinbend_types::Time;
+
+/// Guards against old demand that outweighs a shift: after two seconds it counts less than a tenth.
+#[test]
+fn shift_is_noticed() {
+    let mut recent = Recent::default();
+    for ms in (0..5_000).step_by(100) {
+        recent.add(&[1_000, 0], Time::from_millis(ms));
+    }
+    for ms in (5_000..7_000).step_by(100) {
+        recent.add(&[0, 1_000], Time::from_millis(ms));
+    }
+    let demand = recent
+        .estimate(Time::from_millis(7_000))
+        .expect("enough counts");
+    assert!(demand[0] < demand[1] / 10.0, "{demand:?}");
+}
+
+/// Guards against plans that are made from a handful of counts.
+#[test]
+fn little_tells_nothing() {
+    let mut recent = Recent::default();
+    recent.add(&[100, 50], Time::from_millis(0));
+    assert!(recent.estimate(Time::from_millis(0)).is_none());
+}
+
+/// Guards against a restarted rank whose counts begin anew, and against counts that were told but
+/// not taken in.
+#[test]
+fn counts_since_last_told() {
+    let mut meter = Meter::default();
+    assert_eq!(
+        meter.measure(1, &[500, 7]),
+        [0, 0],
+        "the first counts have no beginning"
+    );
+    meter.confirm(1, vec![500, 7]);
+    assert_eq!(meter.measure(1, &[510, 7]), [10, 0]);
+    assert_eq!(
+        meter.measure(1, &[520, 9]),
+        [20, 2],
+        "the first ones were not taken in"
+    );
+    assert_eq!(
+        meter.measure(1, &[3, 1]),
+        [0, 0],
+        "the rank has started anew"
+    );
+    assert_eq!(
+        meter.measure(2, &[520, 9]),
+        [0, 0],
+        "the group has opened anew"
+    );
+}
