--- a/crates/request/src/direct.rs
+++ b/crates/request/src/direct.rs
@@ -22,8 +22,8 @@
 pub enum Ending {
     /// Nothing of it was sent.
     NotSent,
-    /// The backend server proved that it did not run it.
-    Refused,
+    /// The backend server proved that it did not run it; why it did not.
+    Refused(Reason),
     /// The backend server ran it and answered with a failure.
     Failed,
     /// The connection broke or the answer can't be used: it may have run.
@@ -105,12 +105,12 @@
                 self.unsent += 1;
                 return self.after_unsent(now);
             }
-            Ending::Refused => Next::Refuse(Reason::QueueFull),
+            Ending::Refused(reason) => Next::Refuse(reason),
             Ending::Failed => Next::PassOn,
             Ending::Lost => Next::Fail(Reason::LinkLost),
             Ending::Silent => Next::Fail(Reason::Stalled),
         };
-        self.may_have_run |= ending != Ending::Refused;
+        self.may_have_run |= !matches!(ending, Ending::Refused(_));
         let safe = self.repeatable || !self.may_have_run;
         let useful = self.sent < self.most && now + LEAST_TIME < self.deadline;
         if safe && useful && budget.take() {
--- a/crates/standins/src/site/check.rs
+++ b/crates/standins/src/site/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -128,13 +129,48 @@
     Err(format!("{ready} is not ready after {limit:?}").into())
 }
 
+/// Makes three requests fail, each in its way, and returns how many ended otherwise: refused before
+/// it ran, unknown after its replica lost the answer, and a stream that is cut off.
+async fn make_failures(site: &Site, gateway: SocketAddr) -> u32 {
+    let caller = Caller::default();
+    let set = |full: bool, mute: bool| {
+        for desk in &site.desks {
+            desk.full.store(full, Ordering::Relaxed);
+            desk.mute.store(mute, Ordering::Relaxed);
+        }
+    };
+    let mut wrong = 0;
+    set(true, false);
+    let refused = caller.call(gateway, "/book/x/", "refused-1").await;
+    wrong += u32::from(refused.status != Some(StatusCode::TOO_MANY_REQUESTS));
+    set(false, true);
+    let unknown = caller.call(gateway, "/book/x/", "unknown-1").await;
+    wrong += u32::from(unknown.status != Some(StatusCode::BAD_GATEWAY));
+    set(false, false);
+    for draft in &site.drafts {
+        draft.cut_after.store(3, Ordering::Relaxed);
+    }
+    let cut = caller.call(gateway, "/draft/x/", "cut-1").await;
+    wrong += u32::from(cut.body.is_some());
+    for draft in &site.drafts {
+        draft.cut_after.store(0, Ordering::Relaxed);
+    }
+    println!(
+        "refused={:?} unknown={:?} cut={}",
+        refused.status,
+        unknown.status,
+        cut.body.is_none()
+    );
+    wrong
+}
+
 /// Sends requests of every kind through all gateways and checks what came back and what ran.
 ///
 /// # Errors
 /// Never; the result tells whether all was right.
 pub async fn run(site: &Site, gateways: &[SocketAddr], requests: usize) -> Result<bool, BoxError> {
     let paths = ["/draft/a/", "/book/b/", "/stock/c/", "/draft/d/"];
-    let mut wrong = 0;
+    let mut wrong: u32 = 0;
     let numbers: Vec<usize> = (0..requests).collect();
     for batch in numbers.chunks(CALLERS) {
         let calls = batch.iter().map(|n| {
@@ -173,6 +209,7 @@
             .call(gateways[0], "/draft/a/", "more")
             .await;
     }
+    wrong += make_failures(site, gateways[0]).await;
     let (switches, mixed) = site.group.tally();
     println!(
         "requests={requests} wrong={wrong} ran_twice={twice} switches={switches} mixed={mixed}"
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,7 +141,7 @@
         load = flight.target.load,
         report_ms = flight.target.heard,
         version:% = call.version,
-        after:? = last,
+        after = last.as_deref().unwrap_or_default(),
         left_ms = call.left(now).as_millis() as u64;
         "attempt_sent"
     );
@@ -253,10 +253,12 @@
         return Err(Failure::new(flight, Ending::Lost));
     }
     if head.not_run {
-        let reason = if status.as_u16() == 421 {
-            Reason::WrongIncarnation
-        } else {
-            Reason::QueueFull
+        // A replica that refuses although it has slots free belongs to a group that is closed.
+        let idle = head.load.is_some_and(|load| load.total() < load.slots);
+        let reason = match status.as_u16() {
+            421 => Reason::WrongIncarnation,
+            _ if idle => Reason::NoReplica,
+            _ => Reason::QueueFull,
         };
         log::info!(
             request:% = call.head.id,
@@ -266,7 +268,7 @@
             "attempt_refused"
         );
         flight.end(Done::Refused(reason));
-        return Err(Failure::new(flight, Ending::Refused));
+        return Err(Failure::new(flight, Ending::Refused(reason)));
     }
     let reply = Reply {
         flight,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -333,7 +333,11 @@
             };
             let age = Duration::from_millis(u64::from(load.age));
             let closed = (!load.open).then_some(now);
-            self.service(&service).closed = closed;
+            let pick = self.service(&service);
+            if pick.closed.is_some() != closed.is_some() {
+                log::info!(service:% = service, open = load.open; "group_state");
+            }
+            pick.closed = closed;
             self.observe_aged(&id, Some((report, age)), now);
             self.service(&service).picker.set_pace(&id, load.pace);
         }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -13,14 +13,16 @@
 
 /// Interval between two looks at a group.
 const INTERVAL: Duration = Duration::from_millis(300);
+/// Pause until the configuration is known.
+const FIRST_PAUSE: Duration = Duration::from_millis(30);
 /// Agents that are asked for the leader before the next look.
 const MOST_ASKED: usize = 3;
 
 /// Follows the load of all groups.
 pub(super) async fn run(gateway: Arc<Gateway>) {
     loop {
-        sleep(INTERVAL).await;
         let Some(config) = gateway.config() else {
+            sleep(FIRST_PAUSE).await;
             continue;
         };
         let services: Vec<ServiceName> = config
@@ -33,6 +35,7 @@
         for ranks in groups {
             ask(&gateway, &ranks).await;
         }
+        sleep(INTERVAL).await;
     }
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -73,7 +73,7 @@
 pub(super) fn reason_of(ending: Ending) -> Reason {
     match ending {
         Ending::NotSent | Ending::Lost => Reason::LinkLost,
-        Ending::Refused => Reason::QueueFull,
+        Ending::Refused(reason) => reason,
         Ending::Failed => Reason::BackendFailed,
         Ending::Silent => Reason::Stalled,
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -192,7 +192,7 @@
             let last = self.events.last().cloned();
             log::info!(
                 request:% = self.call.head.id,
-                after:? = last,
+                after = last.as_deref().unwrap_or_default(),
                 cause:% = reason_of(ending);
                 "stream_resumed"
             );
--- a/tests/integration/direct_attempts.rs
+++ b/tests/integration/direct_attempts.rs
@@ -55,7 +55,12 @@
         end(&mut attempts, 1, Ending::Lost, &mut budget),
         Next::Retry
     );
-    let next = end(&mut attempts, 2, Ending::Refused, &mut budget);
+    let next = end(
+        &mut attempts,
+        2,
+        Ending::Refused(Reason::QueueFull),
+        &mut budget,
+    );
     assert!(matches!(next, Next::Fail(_)), "it ended with {next:?}");
 }
 
@@ -65,15 +70,30 @@
     let mut budget = RetryBudget::new(1);
     let mut attempts = Attempts::new(true, 2, DEADLINE);
     assert_eq!(
-        end(&mut attempts, 1, Ending::Refused, &mut budget),
+        end(
+            &mut attempts,
+            1,
+            Ending::Refused(Reason::QueueFull),
+            &mut budget
+        ),
         Next::Retry
     );
     assert_eq!(
-        end(&mut attempts, 2, Ending::Refused, &mut budget),
+        end(
+            &mut attempts,
+            2,
+            Ending::Refused(Reason::QueueFull),
+            &mut budget
+        ),
         Next::Refuse(Reason::QueueFull)
     );
     let mut attempts = Attempts::new(true, 2, DEADLINE);
-    let next = end(&mut attempts, 1, Ending::Refused, &mut budget);
+    let next = end(
+        &mut attempts,
+        1,
+        Ending::Refused(Reason::QueueFull),
+        &mut budget,
+    );
     assert_eq!(
         next,
         Next::Refuse(Reason::QueueFull),
