Limit what is under way by what comes in time, and know of a switch at once

Change: routing::Limit follows the share of late first events and late pauses; the leader takes its own rank's switch as everybody's, since all were armed; maps go to agents as differences.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod health;
+pub mod limit;
 pub mod lively;
 pub mod picker;
 pub mod policy;
@@ -17,6 +18,7 @@
 pub use admission::Queue;
 pub use admission::Taken;
 pub use admission::Ticket;
+pub use limit::Limit;
 pub use lively::Lively;
 pub use picker::Choice;
 pub use picker::Done;
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -57,6 +57,8 @@
     pub timeout: Duration,
     /// Time in which an answer is expected; for streams, its first event.
     pub goal: Duration,
+    /// Longest pause between two events of a stream that is still in time.
+    pub pause: Option<Duration>,
     /// Most replicas to which one request may be sent.
     pub attempts: u32,
     /// Rank of its requests, 0 first.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 use siskinbend_link::Pool;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::Done;
+use siskinbend_routing::Limit;
 use siskinbend_routing::Lively;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Report;
@@ -49,6 +50,7 @@
     picker: Picker,
     budget: RetryBudget,
     lively: Lively,
+    limit: Limit,
     /// When the group behind the service was last seen closed; `None` if it runs.
     closed: Option<Time>,
 }
@@ -227,6 +229,7 @@
                 budget: RetryBudget::new(RETRY_BURST.min(self.bounds.retry_slack))
                     .with_ratio(ratio),
                 lively: Lively::default(),
+                limit: Limit::default(),
                 closed: None,
             };
             self.services.insert(name.clone(), pick);
@@ -302,6 +305,11 @@
         services.iter().map(ranks).collect()
     }
 
+    /// The limit on requests under way at a service.
+    pub fn limit(&mut self, service: &ServiceName) -> &mut Limit {
+        &mut self.service(service).limit
+    }
+
     /// Whether no replica of a service can run anything now.
     pub fn is_closed(&mut self, service: &ServiceName, now: Time) -> bool {
         let closed = self.service(service).closed;
@@ -361,6 +369,31 @@
     }
 }
 
+/// A request that was taken; it counts against the limit of its service until it is dropped.
+pub(super) struct Taken {
+    gateway: Weak<Gateway>,
+    service: ServiceName,
+}
+
+impl Taken {
+    /// Takes a request unless its service has as much as it can answer in time.
+    pub fn take(gateway: &Arc<Gateway>, service: &ServiceName) -> Option<Taken> {
+        let taken = gateway.fleet().limit(service).begin();
+        taken.then(|| Taken {
+            gateway: Arc::downgrade(gateway),
+            service: service.clone(),
+        })
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.fleet().limit(&self.service).end();
+        }
+    }
+}
+
 /// An attempt that is under way; it counts as cancelled if it is dropped.
 pub(super) struct Flight {
     gateway: Weak<Gateway>,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,6 +17,7 @@
 use siskinbend_request::Next;
 use siskinbend_routing::Done;
 use siskinbend_types::Reason;
+use siskinbend_types::Time;
 
 use super::Gateway;
 use super::answer::Body;
@@ -26,10 +27,15 @@
 use super::attempt::strip_connection;
 use super::attempt::wait_silence;
 use super::fleet::Flight;
+use super::fleet::Taken;
 use super::plain;
 use super::plain::reason_of;
 use super::serve::refuse;
 
+/// Part of the goal in which the first event must come to be judged as in time; the rest is the
+/// way to the caller and back.
+const JUDGED_PART: f64 = 0.9;
+
 /// A stream while it is passed on.
 struct Relay {
     gateway: Arc<Gateway>,
@@ -41,7 +47,10 @@
     body: Incoming,
     /// Whether this attempt has sent an event.
     begun: bool,
+    /// When the caller was last sent an event.
+    passed: Option<Time>,
     ended: bool,
+    _taken: Taken,
 }
 
 /// What the next part of a stream is.
@@ -53,6 +62,9 @@
 
 /// Serves a stream.
 pub(super) async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<Body> {
+    let Some(taken) = Taken::take(gateway, &call.service) else {
+        return refuse(gateway, &call, Next::Refuse(Reason::ShareExceeded));
+    };
     let repeatable = call.route.repeat.is_repeatable();
     let mut attempts = Attempts::new(repeatable, call.route.attempts, call.deadline);
     let reply = loop {
@@ -80,10 +92,16 @@
             Next::Refuse(_) | Next::Fail(_) => return refuse(gateway, &call, next),
         }
     };
-    relay(gateway, call, attempts, reply)
+    relay(gateway, call, attempts, reply, taken)
 }
 
-fn relay(gateway: &Arc<Gateway>, call: Call, attempts: Attempts, reply: Reply) -> Response<Body> {
+fn relay(
+    gateway: &Arc<Gateway>,
+    call: Call,
+    attempts: Attempts,
+    reply: Reply,
+    taken: Taken,
+) -> Response<Body> {
     let (mut parts, body) = reply.response.into_parts();
     strip_connection(&mut parts.headers);
     let relay = Relay {
@@ -95,7 +113,9 @@
         link: Some(reply.link),
         body,
         begun: false,
+        passed: None,
         ended: false,
+        _taken: taken,
     };
     let frames = unfold(relay, |mut relay| async move {
         let part = relay.next().await?;
@@ -151,12 +171,32 @@
             self.begun = true;
             fleet.first(&self.flight.target, now.since(self.call.received), now);
         }
+        drop(fleet);
+        self.judge(now);
         match self.events.push(data) {
             Ok(events) => Part::Events(events),
             Err(_) => Part::Broken(Ending::Lost),
         }
     }
 
+    /// Tells the limit whether the events come in time.
+    fn judge(&mut self, now: Time) {
+        let route = &self.call.route;
+        let mut fleet = self.gateway.fleet();
+        let limit = fleet.limit(&self.call.service);
+        match self.passed.replace(now) {
+            None => {
+                let goal = route.goal.mul_f64(JUDGED_PART).as_secs_f64();
+                let took = now.since(self.call.received).as_secs_f64();
+                limit.judge(took / goal.max(f64::MIN_POSITIVE), self.call.received, now);
+            }
+            Some(passed) => {
+                let late = route.pause.is_some_and(|pause| now.since(passed) > pause);
+                limit.judge_pause(late);
+            }
+        }
+    }
+
     fn finish(&mut self) {
         self.ended = true;
         self.flight.end(Done::Ok { first_token: None });
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -15,6 +15,8 @@
 use siskinbend_link::LinkError;
 use siskinbend_link::Pool;
 use siskinbend_link::read_body;
+use siskinbend_site::engine::Order;
+use siskinbend_site::engine::OrderReply;
 use tokio::time::timeout;
 
 /// Longest time for an agent to answer, including its call of its rank.
@@ -30,6 +32,44 @@
 pub(crate) const ORDER_PATH: &str = "/order";
 pub(crate) const LOADS_PATH: &str = "/loads";
 
+/// One place of a map that changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MapChange {
+    /// The set.
+    pub set: u16,
+    /// The rank.
+    pub rank: u16,
+    /// Its experts.
+    pub experts: Vec<u16>,
+}
+
+/// An order that is passed on by the agent beside the rank.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Passed {
+    /// The order as it is.
+    Whole(Order),
+    /// An order to prepare a map that differs from one that the agent has passed on before.
+    Change {
+        /// Version of that earlier map.
+        base: u64,
+        /// Version of the map.
+        version: u64,
+        /// The epoch in which it may be begun.
+        epoch: u64,
+        /// What differs.
+        changes: Vec<MapChange>,
+    },
+}
+
+/// What an agent answers to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PassedReply {
+    /// The rank's answer.
+    Answered(OrderReply),
+    /// The agent does not have the earlier map.
+    NoBase,
+}
+
 /// Load of one rank.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct RankLoad {
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -1,6 +1,7 @@
 //! Agent beside one rank of an engine group: reads what its rank counts, passes orders on, and, if
 //! it leads the group, evens out the experts.
 
+mod maps;
 mod push;
 mod roster;
 mod serve;
@@ -23,6 +24,7 @@
 use crate::platform;
 use crate::shutdown::Shutdown;
 
+use maps::Maps;
 use roster::Roster;
 
 /// Interval at which the registry is read.
@@ -43,6 +45,7 @@
     clock: BootClock,
     shutdown: Shutdown,
     roster: Mutex<Roster>,
+    maps: Mutex<Maps>,
 }
 
 /// Why an agent could not start.
@@ -63,6 +66,10 @@
         self.clock.now()
     }
 
+    fn maps(&self) -> MutexGuard<'_, Maps> {
+        self.maps.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -90,6 +97,7 @@
         clock: BootClock,
         shutdown,
         roster: Mutex::new(Roster::new(own)),
+        maps: Mutex::default(),
         settings,
     });
     platform::watch_settings(file, |_| {}).map_err(StartError::Signals)?;
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -243,6 +243,25 @@
         }
     }
 
+    /// Notes that all ranks have switched to a map, which they will tell only later.
+    pub fn note_switch(&mut self, version: u64, map: &[Placement], step: u64) {
+        for told in self.told.values_mut() {
+            let rank = usize::from(told.push.state.rank);
+            told.push.state = RankState {
+                map: version,
+                step,
+                armed: None,
+                prepared: None,
+                held: None,
+                ..told.push.state.clone()
+            };
+            told.push.placement = map
+                .iter()
+                .filter_map(|set| set.get(rank).cloned())
+                .collect();
+        }
+    }
+
     /// Notes a pass that this agent held.
     pub fn hold_pass(&mut self, step: u64) {
         if let Some((_, floor)) = &mut self.floor {
--- a/src/rank_agent/serve.rs
+++ b/src/rank_agent/serve.rs
@@ -16,7 +16,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use serde::Serialize;
-use siskinbend_site::engine::Order;
 use tokio::net::TcpListener;
 
 use super::Agent;
@@ -25,6 +24,8 @@
 use crate::peer::MOST_MESSAGE;
 use crate::peer::ORDER_PATH;
 use crate::peer::PUSH_PATH;
+use crate::peer::Passed;
+use crate::peer::PassedReply;
 use crate::peer::STATE_PATH;
 
 /// Pause after a connection could not be accepted.
@@ -96,8 +97,13 @@
 }
 
 async fn pass_order(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let order: Order = postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
-    encode(&agent.engine.give_order(agent.own, &order).await)
+    let passed: Passed = postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let order = agent.maps().expand(passed);
+    let reply = match order {
+        Some(order) => PassedReply::Answered(agent.engine.give_order(agent.own, &order).await),
+        None => PassedReply::NoBase,
+    };
+    encode(&reply)
 }
 
 fn encode<Answer>(answer: &Answer) -> Result<Response<Full<Bytes>>, StatusCode>
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -21,15 +21,22 @@
 use tokio::time::sleep;
 
 use super::Agent;
+use super::maps::shorten;
 use super::roster::Push;
 use super::roster::SHORTEST_BEAT;
 use crate::peer::ORDER_PATH;
+use crate::peer::Passed;
+use crate::peer::PassedReply;
 use crate::peer::STATE_PATH;
 
 /// Pause between two looks at ranks that copy experts.
 const COPY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two looks at ranks that have to answer at once.
 const SHORT_PAUSE: Duration = Duration::from_millis(4);
+/// Pause between two looks at a rank that is about to switch.
+const MAP_PAUSE: Duration = Duration::from_millis(15);
+/// Longest wait for the pass of a switch; it may not come while the group has nothing to do.
+const MAP_TIME: Duration = Duration::from_millis(700);
 /// Time for which a hold without a known switch is left to its coordinator.
 const ORPHAN_TIME: Duration = Duration::from_millis(300);
 /// Longest time that a switch or recovery is driven before the group is looked at anew.
@@ -179,6 +186,7 @@
     let (Some(own), Some(floor)) = (own, find_floor(agent, group, &seen)) else {
         return;
     };
+    let placed = map.clone();
     let goal = Goal {
         own,
         epoch: group.states[own].epoch,
@@ -197,17 +205,34 @@
         "switch_started"
     );
     let mut switch = Switch::new(goal, group.ranks.len(), now);
-    let ended = drive(agent, &group.ranks, &mut switch).await;
+    let ended = drive(agent, group, seen, &mut switch).await;
     if let Some(pass) = switch.held_pass() {
         agent.roster().hold_pass(pass);
     }
     let took = agent.now().since(now).as_millis() as u64;
     log::info!(version, outcome:% = describe(ended), took_ms = took; "switch_ended");
+    if ended == Some(Ended::Switched) {
+        await_map(agent, version, &placed).await;
+    }
     if ended == Some(Ended::Blocked) {
         recover(agent, group).await;
     }
 }
 
+/// Waits until the pass of a switch has begun. All ranks were armed for it, so what is true of this
+/// agent's rank is true of all of them.
+async fn await_map(agent: &Agent, version: u64, map: &[Placement]) {
+    let begun = agent.now();
+    while agent.now().since(begun) < MAP_TIME {
+        let state = agent.engine.read_state(agent.own).await;
+        if let Some(state) = state.filter(|s| s.map == version) {
+            agent.roster().note_switch(version, map, state.step);
+            return;
+        }
+        sleep(MAP_PAUSE).await;
+    }
+}
+
 /// Limits of the service's engines on placements, read from the configuration now and then.
 async fn find_limits(agent: &Agent, now: Time) -> Option<Settings> {
     let known = agent.roster().find_limits(now);
@@ -256,7 +281,8 @@
     let version = draw_version(&states);
     log::warn!(rank, step, version; "recovery_started");
     let mut recovery = Recovery::new(rank, step, epoch, version, group.map.clone());
-    let ended = drive(agent, &group.ranks, &mut recovery).await;
+    let seen = states.into_iter().map(Some).collect();
+    let ended = drive(agent, group, seen, &mut recovery).await;
     log::warn!(rank, step, outcome:% = describe(ended); "recovery_ended");
 }
 
@@ -312,12 +338,17 @@
 }
 
 /// Reads the ranks, gives the orders of a round, and so on until the work has ended.
-async fn drive<Work>(agent: &Arc<Agent>, ranks: &[SocketAddr], work: &mut Work) -> Option<Ended>
+async fn drive<Work>(
+    agent: &Arc<Agent>,
+    group: &Group,
+    mut seen: Vec<Option<RankState>>,
+    work: &mut Work,
+) -> Option<Ended>
 where
     Work: Rounds,
 {
+    let ranks = &group.ranks;
     let begun = agent.now();
-    let mut seen = read_fresh(agent, ranks).await;
     while agent.now().since(begun) < DRIVE_TIME {
         let round = work.advance(&seen, agent.now());
         if round.ended.is_some() {
@@ -327,7 +358,7 @@
         let given = round.orders.into_iter().map(|(rank, order)| {
             let address = ranks[rank];
             async move {
-                let reply = give(agent, address, &order).await;
+                let reply = give(agent, group, address, &order).await;
                 (rank, order, reply)
             }
         });
@@ -364,21 +395,36 @@
     join_all(reads).await
 }
 
-async fn give(agent: &Arc<Agent>, rank: SocketAddr, order: &Order) -> OrderReply {
+async fn give(agent: &Arc<Agent>, group: &Group, rank: SocketAddr, order: &Order) -> OrderReply {
     let direct = rank == agent.own || agent.roster().is_direct(rank);
-    let reply = if direct {
-        agent.engine.give_order(rank, order).await
-    } else {
-        match agent.peers.call(rank, ORDER_PATH, order).await {
-            Some(reply) => reply,
-            None => agent.engine.give_order(rank, order).await,
-        }
+    let passed = match direct {
+        true => None,
+        false => pass(agent, group, rank, order).await,
     };
-    log::debug!(
-        rank:% = rank,
-        task = order.task.as_str(),
-        reply:? = reply;
-        "order_given"
-    );
+    let reply = match passed {
+        Some(reply) => reply,
+        None => agent.engine.give_order(rank, order).await,
+    };
+    log::debug!(rank:% = rank, task = order.task.as_str(), reply:? = reply; "order_given");
     reply
 }
+
+/// Gives an order through the agent beside the rank, a map by its difference if it can be.
+async fn pass(
+    agent: &Arc<Agent>,
+    group: &Group,
+    rank: SocketAddr,
+    order: &Order,
+) -> Option<OrderReply> {
+    if let Some(short) = shorten(order, group.states[0].map, &group.map) {
+        match agent.peers.call(rank, ORDER_PATH, &short).await? {
+            PassedReply::Answered(reply) => return Some(reply),
+            PassedReply::NoBase => {}
+        }
+    }
+    let whole = Passed::Whole(order.clone());
+    match agent.peers.call(rank, ORDER_PATH, &whole).await? {
+        PassedReply::Answered(reply) => Some(reply),
+        PassedReply::NoBase => None,
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod membership;
 mod operators;
 mod outcomes;
+mod overload_limit;
 mod partition;
 mod placement;
 mod placement_counts;
