--- a/crates/request/src/returns.rs
+++ b/crates/request/src/returns.rs
@@ -24,7 +24,7 @@
     /// Earliest and latest return.
     fn range(self) -> (Duration, Duration) {
         match self {
-            Cause::Full => (Duration::from_millis(500), Duration::from_millis(1_300)),
+            Cause::Full => (Duration::from_millis(800), Duration::from_millis(2_400)),
             Cause::Closed => (Duration::from_millis(1_200), Duration::from_millis(2_200)),
             Cause::Broken => (Duration::from_millis(150), Duration::from_millis(500)),
         }
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -77,12 +77,13 @@
         }
     }
 
-    /// Whether another request may begin; if so it counts until [`Limit::end`].
-    pub fn begin(&mut self) -> bool {
+    /// Whether another request may begin; if so it counts until [`Limit::end`]. `free` tells that
+    /// the service has room, so that the limit isn't kept.
+    pub fn begin(&mut self, free: bool) -> bool {
         let full = self
             .most
             .is_some_and(|most| f64::from(self.running) >= most);
-        if full {
+        if full && !free {
             return false;
         }
         self.running += 1;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -171,6 +171,15 @@
         }
     }
 
+    /// Requests that run or wait over the slots of the replicas that take requests, as estimated.
+    pub fn find_use(&self) -> f64 {
+        let peers = self.estimate_peers();
+        let open = || self.replicas.values().filter(|r| !r.draining);
+        let load: f64 = open().map(|r| r.estimate(peers)).sum();
+        let slots: f64 = open().map(|r| f64::from(r.report.slots)).sum();
+        load / slots.max(1.0)
+    }
+
     /// Forgets a replica that is gone.
     pub fn remove(&mut self, agent: &AgentId) {
         self.replicas.remove(agent);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -39,6 +39,8 @@
 const RETRY_BURST: u32 = 7;
 /// Part of the granted retry ratio that is used, so that windows of any phase stay within it.
 const RATIO_USED: f64 = 0.7;
+/// Part of a service's slots in use from which its limit is kept.
+const BUSY_USE: f64 = 0.6;
 /// Time for which a group counts as closed after it was last seen so.
 const CLOSED_TIME: Duration = Duration::from_millis(800);
 /// Random replicas that the choice compares. More would make gateways that hold the same report
@@ -310,6 +312,14 @@
         &mut self.service(service).limit
     }
 
+    /// Counts a request as under way, unless its service has as much as it can answer in time.
+    /// While slots are free, late answers have another cause than too many requests.
+    fn take(&mut self, service: &ServiceName) -> bool {
+        let pick = self.service(service);
+        let free = pick.picker.find_use() < BUSY_USE;
+        pick.limit.begin(free)
+    }
+
     /// Whether no replica of a service can run anything now.
     pub fn is_closed(&mut self, service: &ServiceName, now: Time) -> bool {
         let closed = self.service(service).closed;
@@ -378,7 +388,7 @@
 impl Taken {
     /// Takes a request unless its service has as much as it can answer in time.
     pub fn take(gateway: &Arc<Gateway>, service: &ServiceName) -> Option<Taken> {
-        let taken = gateway.fleet().limit(service).begin();
+        let taken = gateway.fleet().take(service);
         taken.then(|| Taken {
             gateway: Arc::downgrade(gateway),
             service: service.clone(),
--- a/tests/integration/overload_limit.rs
+++ b/tests/integration/overload_limit.rs
@@ -30,7 +30,7 @@
         if now * 1_000 >= next {
             next += gap.as_micros() as u64;
             sent += 1;
-            if limit.begin() || !limited {
+            if limit.begin(false) || !limited {
                 let took = ALONE_MS + EACH_MS * ends.len() as u64;
                 ends.push((now + took, took));
             }
