--- a/crates/site/src/view.rs
+++ b/crates/site/src/view.rs
@@ -22,7 +22,7 @@
 const CERTAIN_AGE: Duration = Duration::from_millis(2_600);
 /// Margin kept to the time after which a key that was taken away may not be used. A store may
 /// for a second tell nothing of the changes that it takes.
-const REVOKE_MARGIN: Duration = Duration::from_millis(1_200);
+const REVOKE_MARGIN: Duration = Duration::from_millis(1_000);
 
 /// Limits of a view.
 #[derive(Debug, Clone, Copy)]
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -14,7 +14,7 @@
 
 /// Time for which one call waits for a change of the configuration; it must be shorter than the age
 /// up to which the configuration is certain.
-const CONFIG_WAIT: Duration = Duration::from_millis(2_000);
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
 /// Time for which one call waits for a change of the registry.
 const SERVERS_WAIT: Duration = Duration::from_millis(2_000);
 /// Time for which changes of the registry gather after one, so that many servers that start
