--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -47,6 +47,21 @@
     }
 }
 
+/// What made a limit change, over one window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Seen {
+    /// The limit after it.
+    pub most: Option<u32>,
+    /// Most requests that were under way.
+    pub peak: u32,
+    /// Share of late answers.
+    pub late: f64,
+    /// Share of late pauses within answers.
+    pub paused: f64,
+    /// Mean time of the answers, as a multiple of the time in which they should come.
+    pub mean: f64,
+}
+
 /// The limit of one gateway for one service.
 #[derive(Debug, Clone, Default)]
 pub struct Limit {
@@ -100,21 +115,34 @@
     /// should come; `sent` is when its request came.
     ///
     /// Requests from before the limit last fell say nothing about the limit as it is now.
-    pub fn judge(&mut self, took: f64, sent: Time, now: Time) {
+    ///
+    /// Returns what was seen if the limit changed.
+    pub fn judge(&mut self, took: f64, sent: Time, now: Time) -> Option<Seen> {
         if sent < self.fell {
-            return;
+            return None;
         }
         self.answers += 1;
         self.late += u32::from(took > 1.0);
         self.took += took;
         let over = now.since(self.begun) >= self.settings.window;
-        if over && self.answers >= self.settings.answers {
-            self.adapt(now);
-            self.begun = now;
-            (self.answers, self.late, self.peak) = (0, 0, self.running);
-            self.took = 0.0;
-            (self.pauses, self.paused) = (0, 0);
+        if !over || self.answers < self.settings.answers {
+            return None;
         }
+        let before = self.most();
+        let mut seen = Seen {
+            most: None,
+            peak: self.peak,
+            late: f64::from(self.late) / f64::from(self.answers),
+            paused: f64::from(self.paused) / f64::from(self.pauses.max(1)),
+            mean: self.took / f64::from(self.answers),
+        };
+        self.adapt(&seen, now);
+        self.begun = now;
+        (self.answers, self.late, self.peak) = (0, 0, self.running);
+        self.took = 0.0;
+        (self.pauses, self.paused) = (0, 0);
+        seen.most = self.most();
+        (seen.most != before).then_some(seen)
     }
 
     /// Notes whether a pause within an answer was too long.
@@ -128,13 +156,10 @@
         self.most.map(|most| most as u32)
     }
 
-    fn adapt(&mut self, now: Time) {
+    fn adapt(&mut self, seen: &Seen, now: Time) {
         let settings = self.settings;
-        let peak = f64::from(self.peak);
-        let mean = self.took / f64::from(self.answers);
-        let late = f64::from(self.late) > settings.late * f64::from(self.answers);
-        let paused = f64::from(self.paused) > settings.paused * f64::from(self.pauses);
-        if late || paused {
+        let (peak, mean) = (f64::from(seen.peak), seen.mean);
+        if seen.late > settings.late || seen.paused > settings.paused {
             let most = self.most.unwrap_or(peak).min(peak);
             let (highest, lowest) = settings.fall;
             let wanted = (1.0 / mean.max(f64::MIN_POSITIVE)).clamp(lowest, highest);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -188,7 +188,18 @@
             None => {
                 let goal = route.goal.mul_f64(JUDGED_PART).as_secs_f64();
                 let took = now.since(self.call.received).as_secs_f64();
-                limit.judge(took / goal.max(f64::MIN_POSITIVE), self.call.received, now);
+                let took = took / goal.max(f64::MIN_POSITIVE);
+                if let Some(seen) = limit.judge(took, self.call.received, now) {
+                    log::info!(
+                        service:% = self.call.service,
+                        most = seen.most.unwrap_or(0),
+                        peak = seen.peak,
+                        late = format!("{:.2}", seen.late),
+                        paused = format!("{:.3}", seen.paused),
+                        mean = format!("{:.2}", seen.mean);
+                        "limit_changed"
+                    );
+                }
             }
             Some(passed) => {
                 let late = route.pause.is_some_and(|pause| now.since(passed) > pause);
