Read the registry again while it lacks a rank of the group

Change: the registry is complete only with as many ranks as the own rank says that its group has. tests gateway_shell::late_registration_is_noticed fails before.

--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -29,7 +29,7 @@
 
 /// Interval at which the registry is read.
 const REGISTRY_READ: Duration = Duration::from_secs(20);
-/// Pause after a registry that lacks a rank of the group.
+/// Interval at which a registry that lacks a rank of the group is read.
 const REGISTRY_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after the registry could not be read.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(800);
@@ -119,7 +119,7 @@
 async fn follow_registry(agent: Arc<Agent>) {
     let mut lost = false;
     loop {
-        let pause = match agent.source.read_servers().await {
+        match agent.source.read_servers().await {
             Ok(change) => {
                 if std::mem::take(&mut lost) {
                     log::info!(matter = "servers"; "store_regained");
@@ -131,19 +131,28 @@
                     .filter(|s| service.as_ref().is_none_or(|own| *own == s.service))
                     .map(|s| s.address)
                     .collect();
-                if agent.roster().set_members(ranks) {
-                    REGISTRY_READ
-                } else {
-                    REGISTRY_WAIT
-                }
+                agent.roster().set_members(ranks);
+                wait_registry(&agent).await;
+                continue;
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!(matter = "servers", error:% = error; "store_lost");
                 }
-                REGISTRY_PAUSE
+                tokio::time::sleep(REGISTRY_PAUSE).await;
             }
-        };
-        tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Waits until the registry should be read again: sooner if a rank of the group was missing.
+async fn wait_registry(agent: &Agent) {
+    let mut waited = Duration::ZERO;
+    while waited < REGISTRY_READ {
+        tokio::time::sleep(REGISTRY_WAIT).await;
+        waited += REGISTRY_WAIT;
+        if !agent.roster().is_complete() {
+            return;
+        }
     }
 }
--- a/src/rank_agent/push.rs
+++ b/src/rank_agent/push.rs
@@ -35,6 +35,7 @@
 
 async fn read(agent: &Agent, known: &mut Option<Known>, meter: &Meter) -> Option<(Push, Counts)> {
     let state = agent.engine.read_state(agent.own).await?;
+    agent.roster().note_size(state.size);
     let counts = agent.engine.read_counts(agent.own).await?;
     let current = known
         .as_ref()
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -61,6 +61,10 @@
 pub(super) struct Roster {
     own: SocketAddr,
     members: BTreeSet<SocketAddr>,
+    /// Whether the registry listed this agent's rank.
+    listed: bool,
+    /// Ranks of the group; 0 until the own rank told.
+    size: usize,
     passed: BTreeMap<SocketAddr, Time>,
     told: BTreeMap<SocketAddr, Told>,
     /// Epoch, and the pass after which this agent may hold one.
@@ -77,6 +81,8 @@
         Roster {
             own,
             members: BTreeSet::from([own]),
+            listed: false,
+            size: 0,
             passed: BTreeMap::new(),
             told: BTreeMap::new(),
             floor: None,
@@ -93,13 +99,21 @@
         (BEAT_PER_RANK * size).clamp(SHORTEST_BEAT, LONGEST_BEAT)
     }
 
-    /// Takes in the registered ranks; false if some of the group are not among them yet.
-    pub fn set_members(&mut self, ranks: BTreeSet<SocketAddr>) -> bool {
-        let size = self.told.values().map(|told| told.push.state.size).max();
-        let complete = ranks.contains(&self.own) && ranks.len() >= usize::from(size.unwrap_or(2));
+    /// Takes in the registered ranks.
+    pub fn set_members(&mut self, ranks: BTreeSet<SocketAddr>) {
+        self.listed = ranks.contains(&self.own);
         self.members = ranks;
         self.members.insert(self.own);
-        complete
+    }
+
+    /// Notes how many ranks the group has.
+    pub fn note_size(&mut self, size: u16) {
+        self.size = usize::from(size);
+    }
+
+    /// Whether the registry listed this agent's rank and as many others as the group has.
+    pub fn is_complete(&self) -> bool {
+        self.listed && self.size > 0 && self.members.len() >= self.size
     }
 
     /// Agents that may lead, in the order in which they are asked; none if this agent leads.
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -339,3 +339,26 @@
     }
     assert_eq!(world.site.group.tally().1, 0, "passes with two maps");
 }
+
+/// Guards against agents that read an incomplete registry at their start, as after the loss of all
+/// VMs, and then follow different leaders for long.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_registration_is_noticed() {
+    let world = World::start().await;
+    let first = &world.site.drafts[0].id;
+    let address = world.site.store.find_address(first);
+    world.site.store.write("servers", first, None);
+    let start = |rank: usize| Process::start("rank-agent", &world.site.rank_settings(rank));
+    let agents: Vec<Process> = (1..RANKS).map(start).collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let address = address.parse().expect("an address");
+    world.site.store.register(first, "drafts", address);
+    let leader = start(0);
+    let begun = Instant::now();
+    while world.site.group.tally().0 == 0 {
+        assert!(begun.elapsed() < PATIENCE / 2, "no map was switched");
+        let id = format!("j{}", begun.elapsed().as_micros());
+        world.call("/draft/x/", &id).await;
+    }
+    drop((agents, leader));
+}
