--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -67,11 +67,9 @@
     pub public: bool,
 }
 
-/// Expert layout and speed of a service's engines.
+/// Expert layout of a service's engines.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineShape {
-    /// Requests that one engine runs at a time.
-    pub slots: u32,
     /// Sets of layers, each with its own placement.
     pub sets: u16,
     /// Experts in each set.
@@ -80,10 +78,6 @@
     pub places: u16,
     /// Experts of a set that one preparation may copy to a rank.
     pub spare: u16,
-    /// Part of the work for a token that its experts do, 0 to 1.
-    pub expert_share: f64,
-    /// Size of one expert in MB.
-    pub expert_mb: f64,
 }
 
 /// One service.
@@ -91,8 +85,6 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one replica accepts from all callers.
-    pub connections: u32,
     /// Its engines, if it is a model service.
     pub engine: Option<EngineShape>,
 }
--- a/crates/site/src/dialect.rs
+++ b/crates/site/src/dialect.rs
@@ -19,10 +19,6 @@
     pub key: Option<SmolStr>,
     /// The last event that the caller of a stream has received.
     pub last_event: Option<SmolStr>,
-    /// Tokens of the prompt; 0 if the request doesn't say.
-    pub prompt: u32,
-    /// Most tokens of the answer; 0 if the request doesn't say.
-    pub answer: u32,
 }
 
 /// What is added to a request that goes to a backend server.
@@ -51,8 +47,6 @@
     pub not_run: bool,
     /// The backend server's load.
     pub load: Option<Report>,
-    /// Seconds for which an idle connection stays open.
-    pub keep_alive: Option<u64>,
 }
 
 /// Translates the headers of one platform.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -29,6 +29,8 @@
 
 /// Time after which a caller should come back that was refused for want of knowledge.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// The least urgent rank that engines know.
+const LEAST_URGENT: u8 = 9;
 /// Time that a caller waits if it doesn't say.
 const USUAL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -150,12 +152,18 @@
         headers,
         body,
         service,
-        urgency: None,
+        urgency: Some(find_urgency(route.priority, owner.as_ref())),
         organisation: owner.map(|o| o.organisation),
         route,
     })
 }
 
+/// Urgency at the engines: the organisation's rank goes before that of the route.
+fn find_urgency(route: u8, owner: Option<&KeyOwner>) -> u8 {
+    let rank = owner.and_then(|o| o.priority).unwrap_or(route);
+    rank.min(LEAST_URGENT)
+}
+
 /// A refusal that is certain only if the configuration is fresh.
 fn unless(certain: bool, reason: Reason) -> Reason {
     if certain {
