--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -78,6 +78,8 @@
     pub places: u16,
     /// Experts of a set that one preparation may copy to a rank.
     pub spare: u16,
+    /// Size of one expert in MB.
+    pub expert_mb: f64,
 }
 
 /// One service.
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -45,6 +45,14 @@
 const RANDOM_BITS: u32 = 24;
 /// Least expected gain of a switch: the sum over the sets of highest load over mean load.
 const LEAST_GAIN: f64 = 0.3;
+/// Gain in one set that copying a GB must bring.
+const GAIN_PER_GB: f64 = 0.064;
+/// MB in a GB.
+const MB_PER_GB: f64 = 1_000.0;
+/// Least and most gain that is asked of one copy. Each copy also makes the switch later, whatever
+/// its size.
+const LEAST_COPY: f64 = 0.03;
+const MOST_COPY: f64 = 0.1;
 
 /// The group as the agents told it.
 struct Group {
@@ -251,7 +259,7 @@
     let limits = Settings {
         places: usize::from(engine.places),
         spare: usize::from(engine.spare),
-        ..Settings::default()
+        least_gain: (engine.expert_mb / MB_PER_GB * GAIN_PER_GB).clamp(LEAST_COPY, MOST_COPY),
     };
     agent.roster().set_limits(limits, now);
     Some(limits)
