Decide what follows an attempt in one place, and test bad bodies at the gateway

Cause: plain.rs and stream.rs repeated the same decision three times, and no test sent half a request or a body over the limit to a gateway. A refused body left no log line.

--- a/crates/request/src/direct.rs
+++ b/crates/request/src/direct.rs
@@ -32,6 +32,18 @@
     Silent,
 }
 
+impl Ending {
+    /// The reason for metrics and logs.
+    pub fn reason(self) -> Reason {
+        match self {
+            Ending::NotSent | Ending::Lost => Reason::LinkLost,
+            Ending::Refused(reason) => reason,
+            Ending::Failed => Reason::BackendFailed,
+            Ending::Silent => Reason::Stalled,
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -30,6 +30,8 @@
 pub const KEY: &str = "k-growers-1";
 /// Host name of all routes.
 pub const HOST: &str = "shop.example";
+/// Largest body of a request in bytes that the configuration allows.
+pub const MOST_BODY: usize = 65_536;
 /// Time in which the processes under test must become ready.
 const READY_TIME: Duration = Duration::from_secs(20);
 
@@ -157,7 +159,7 @@
                 "experts": shape.experts, "placements": shape.places, "spare": 3}},
             {"name": "desk", "maxConnections": 96},
         ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MOST_BODY, "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000},
         "tenants": [{"name": "growers", "apiKeys": [KEY], "priority": 1}],
     })
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use siskinbend_link::LinkError;
 use siskinbend_request::Attempts;
 use siskinbend_request::Ending;
+use siskinbend_request::Next;
 use siskinbend_routing::Done;
 use siskinbend_site::CallHead;
 use siskinbend_site::ReplyHead;
@@ -32,6 +33,7 @@
 
 use super::Gateway;
 use super::fleet::Flight;
+use super::fleet::Target;
 
 /// Longest time to open a connection to a backend server.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -155,6 +157,26 @@
     Ok(exchange(gateway, call, flight, link, last).await)
 }
 
+/// Decides what follows an attempt that brought nothing for the caller.
+pub(super) fn end_attempt(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &mut Attempts,
+    target: &Target,
+    ending: Ending,
+) -> Next {
+    let now = gateway.now();
+    let next = {
+        let mut fleet = gateway.fleet();
+        let budget = fleet.budget(&call.service);
+        attempts.end(target.id.clone(), ending, budget, now)
+    };
+    if next == Next::Retry {
+        gateway.metrics.count_retry(ending.reason());
+    }
+    next
+}
+
 /// A request that may not be repeated takes a new connection: on a kept one it could cross the
 /// close of the connection, or find the late answer of another request.
 async fn open(gateway: &Arc<Gateway>, call: &Call, flight: &Flight) -> Result<Link, LinkError> {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -18,6 +18,7 @@
 use super::answer::whole;
 use super::attempt::Call;
 use super::attempt::Reply;
+use super::attempt::end_attempt;
 use super::attempt::send;
 use super::attempt::strip_connection;
 use super::fleet::Target;
@@ -53,32 +54,16 @@
                 }
             }
         };
-        let now = gateway.now();
-        let next = {
-            let mut fleet = gateway.fleet();
-            let budget = fleet.budget(&call.service);
-            attempts.end(target.id, ending, budget, now)
-        };
-        match next {
-            Next::Retry => gateway.metrics.count_retry(reason_of(ending)),
+        match end_attempt(gateway, call, &mut attempts, &target, ending) {
+            Next::Retry => {}
             Next::PassOn => {
                 return give_up(gateway, call, &attempts, failure, Reason::BackendFailed);
             }
-            Next::Refuse(_) | Next::Fail(_) => return refuse(gateway, call, next),
+            next @ (Next::Refuse(_) | Next::Fail(_)) => return refuse(gateway, call, next),
         }
     }
 }
 
-/// The reason for metrics and logs.
-pub(super) fn reason_of(ending: Ending) -> Reason {
-    match ending {
-        Ending::NotSent | Ending::Lost => Reason::LinkLost,
-        Ending::Refused(reason) => reason,
-        Ending::Failed => Reason::BackendFailed,
-        Ending::Silent => Reason::Stalled,
-    }
-}
-
 /// Passes on the failure of a backend server, or tells why there is no answer.
 fn give_up(
     gateway: &Arc<Gateway>,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -138,7 +138,13 @@
         .ok_or(Reason::UnknownService)?
         .clone();
     let (route, owner) = (route.clone(), owner.cloned());
-    let body = receive(body, &config).await?;
+    let body = match receive(body, &config).await {
+        Ok(body) => body,
+        Err(reason) => {
+            log::info!(request:% = head.id, service:% = service, reason:% = reason; "body_refused");
+            return Err(reason);
+        }
+    };
     let mut headers = parts.headers;
     strip_connection(&mut headers);
     let wait = head.timeout.unwrap_or(USUAL_TIMEOUT).min(route.timeout);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,13 +23,13 @@
 use super::answer::Body;
 use super::attempt::Call;
 use super::attempt::Reply;
+use super::attempt::end_attempt;
 use super::attempt::send;
 use super::attempt::strip_connection;
 use super::attempt::wait_silence;
 use super::fleet::Flight;
 use super::fleet::Taken;
 use super::plain;
-use super::plain::reason_of;
 use super::serve::refuse;
 
 /// Part of the goal in which the first event must come to be judged as in time; the rest is the
@@ -78,18 +78,12 @@
             },
             Ok(Err(failed)) => (failed.flight.target.clone(), failed.ending),
         };
-        let now = gateway.now();
-        let next = {
-            let mut fleet = gateway.fleet();
-            let budget = fleet.budget(&call.service);
-            attempts.end(target.id, ending, budget, now)
-        };
-        match next {
-            Next::Retry => gateway.metrics.count_retry(reason_of(ending)),
+        match end_attempt(gateway, &call, &mut attempts, &target, ending) {
+            Next::Retry => {}
             Next::PassOn => {
                 return refuse(gateway, &call, Next::Fail(Reason::BackendFailed));
             }
-            Next::Refuse(_) | Next::Fail(_) => return refuse(gateway, &call, next),
+            next @ (Next::Refuse(_) | Next::Fail(_)) => return refuse(gateway, &call, next),
         }
     };
     relay(gateway, call, attempts, reply, taken)
@@ -229,14 +223,9 @@
         self.link = None;
         self.events.drop_partial();
         loop {
-            let now = self.gateway.now();
-            let next = {
-                let mut fleet = self.gateway.fleet();
-                let budget = fleet.budget(&self.call.service);
-                self.attempts.end(target.id, ending, budget, now)
-            };
-            match next {
-                Next::Retry => self.gateway.metrics.count_retry(reason_of(ending)),
+            let attempts = &mut self.attempts;
+            match end_attempt(&self.gateway, &self.call, attempts, &target, ending) {
+                Next::Retry => {}
                 Next::PassOn => return Err(Reason::BackendFailed),
                 Next::Refuse(reason) | Next::Fail(reason) => return Err(reason),
             }
@@ -244,7 +233,7 @@
             log::info!(
                 request:% = self.call.head.id,
                 after = last.as_deref().unwrap_or_default(),
-                cause:% = reason_of(ending);
+                cause:% = ending.reason();
                 "stream_resumed"
             );
             match send(&self.gateway, &self.call, &mut self.attempts, last).await? {
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -12,6 +12,9 @@
 
 use http::StatusCode;
 use siskinbend_standins::server::free_ports;
+use siskinbend_standins::site::HOST;
+use siskinbend_standins::site::KEY;
+use siskinbend_standins::site::MOST_BODY;
 use siskinbend_standins::site::Site;
 use siskinbend_standins::site::build_config;
 use siskinbend_standins::site::check::Answer;
@@ -20,6 +23,9 @@
 use siskinbend_standins::site::check::whole_stream;
 use siskinbend_standins::site::ranks::Shape;
 use siskinbend_standins::site::store::Mode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const READY_TIME: Duration = Duration::from_secs(20);
 /// Time in which something that has to happen does, also on a loaded machine.
@@ -204,6 +210,79 @@
     }
 }
 
+/// Writes bytes to a gateway and reads what comes back until it closes or `limit` is over.
+async fn write_raw(gateway: SocketAddr, bytes: &[u8], close: bool, limit: Duration) -> String {
+    let mut stream = TcpStream::connect(gateway).await.expect("a connection");
+    stream.write_all(bytes).await.expect("the bytes are taken");
+    if close {
+        stream.shutdown().await.expect("half a close");
+    }
+    let mut answer = Vec::new();
+    // Whatever came until the limit is the answer.
+    let _ = tokio::time::timeout(limit, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// The head of a booking with a body of a stated length.
+fn head_of(id: &str, length: usize) -> String {
+    format!(
+        "POST /book/x/ HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
+         x-request-id: {id}\r\nx-deadline-ms: 3000\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Guards against half a request that runs, or that takes a gateway from other callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_requests_never_run() {
+    let world = World::start().await;
+    let half_head = &head_of("k1", 0)[..40];
+    let mut half_body = head_of("k2", 100);
+    half_body.push_str("only part");
+    let slow = half_body.replace("k2", "k3");
+    let limit = Duration::from_millis(500);
+    write_raw(world.callers, half_head.as_bytes(), true, limit).await;
+    write_raw(world.callers, half_body.as_bytes(), true, limit).await;
+    let callers = world.callers;
+    let waiting =
+        tokio::spawn(async move { write_raw(callers, slow.as_bytes(), false, PATIENCE).await });
+    let other = world.call("/book/x/", "k4").await;
+    assert_eq!(other.status, Some(StatusCode::OK));
+    let answer = waiting.await.expect("the caller ends");
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("slow_caller"), "{answer}");
+    let runs = ["k1", "k2", "k3"].map(|id| world.count_runs(id));
+    assert_eq!(runs, [0, 0, 0]);
+}
+
+/// Guards against bodies beyond the operators' limit that are kept or run, with a stated length
+/// and in chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_are_refused() {
+    let world = World::start().await;
+    let limit = Duration::from_secs(2);
+    let mut stated = head_of("l1", MOST_BODY + 1).into_bytes();
+    stated.extend(vec![b'x'; MOST_BODY + 1]);
+    let chunked = head_of("l2", 0).replace("content-length: 0", "transfer-encoding: chunked");
+    let mut chunked = chunked.into_bytes();
+    for _ in 0..=MOST_BODY / 4096 {
+        chunked.extend(b"1000\r\n");
+        chunked.extend(vec![b'x'; 4096]);
+        chunked.extend(b"\r\n");
+    }
+    chunked.extend(b"0\r\n\r\n");
+    for body in [&stated, &chunked] {
+        let answer = write_raw(world.callers, body, false, limit).await;
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        assert!(answer.contains("body_too_large"), "{answer}");
+    }
+    let mut fitting = head_of("l3", MOST_BODY).into_bytes();
+    fitting.extend(vec![b'x'; MOST_BODY]);
+    let answer = write_raw(world.callers, &fitting, false, limit).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    let runs = ["l1", "l2", "l3"].map(|id| world.count_runs(id));
+    assert_eq!(runs, [0, 0, 1]);
+}
+
 /// Guards against keys that are used although nobody knows any more whether they still hold, and
 /// against a gateway that does not come back with the store.
 #[tokio::test(flavor = "multi_thread")]
