--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -19,7 +19,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            memory: Duration::from_millis(800),
+            memory: Duration::from_millis(250),
             least: 2_000.0,
         }
     }
--- a/tests/integration/recent_demand.rs
+++ b/tests/integration/recent_demand.rs
@@ -20,6 +20,23 @@
     assert!(demand[0] < demand[1] / 10.0, "{demand:?}");
 }
 
+/// Guards against plans for a demand that has passed: half a second after a shift, the new demand
+/// counts six times as much as the old.
+#[test]
+fn shift_leads_soon() {
+    let mut recent = Recent::default();
+    for ms in (0..5_000).step_by(100) {
+        recent.add(&[1_000, 0], Time::from_millis(ms));
+    }
+    for ms in (5_000..5_500).step_by(100) {
+        recent.add(&[0, 1_000], Time::from_millis(ms));
+    }
+    let demand = recent
+        .estimate(Time::from_millis(5_500))
+        .expect("enough counts");
+    assert!(demand[1] > demand[0] * 6.0, "{demand:?}");
+}
+
 /// Guards against plans that are made from a handful of counts.
 #[test]
 fn little_tells_nothing() {
