End a plan once no gain could pay for more copies

Change: the plan ends when even a perfectly even set would not be worth the copies made since the best map.

--- a/crates/placement/src/even.rs
+++ b/crates/placement/src/even.rs
@@ -17,6 +17,8 @@
 /// Least improvement of the objective, as a part of it, that counts as progress.
 const LEAST_PROGRESS: f64 = 1e-4;
 
+/// Highest load over the mean load of a set that could not be more even.
+const EVEN: f64 = 1.0;
 /// Least pace that counts, so that a malformed one divides nothing by zero.
 const LEAST_PACE: f64 = 0.1;
 
@@ -55,6 +57,8 @@
     pub before: f64,
     /// The same after.
     pub after: f64,
+    /// Changes that were tried one after another.
+    pub tries: usize,
 }
 
 /// One change: an expert comes to a rank, another may leave it.
@@ -103,16 +107,31 @@
     let mut draft = Draft::new(demand, paces, map);
     let before = draft.highest() / draft.mean;
     let mut best = (draft.map.clone(), before, 0);
-    for _ in 0..MOST_CHANGES {
+    if before - EVEN < settings.least_gain {
+        return Plan {
+            map: best.0,
+            copies: 0,
+            before,
+            after: before,
+            tries: 0,
+        };
+    }
+    let mut tries = 0;
+    while tries < MOST_CHANGES {
         let Some(change) = draft.find_change(settings) else {
             break;
         };
+        tries += 1;
         draft.apply(&change);
         let now = draft.highest() / draft.mean;
         let copies = draft.count_copies();
+        let wanted = settings.least_gain * copies.saturating_sub(best.2) as f64;
         let gained = best.1 - now;
-        if gained >= settings.least_gain * copies.saturating_sub(best.2) as f64 && gained > 0.0 {
+        if gained >= wanted && gained > 0.0 {
             best = (draft.map.clone(), now, copies);
+        } else if best.1 - EVEN < wanted {
+            // Not even an even set would be worth this many copies.
+            break;
         }
     }
     Plan {
@@ -120,6 +139,7 @@
         copies: best.2,
         before,
         after: best.1,
+        tries,
     }
 }
 
--- a/tests/integration/even_placement.rs
+++ b/tests/integration/even_placement.rs
@@ -83,6 +83,25 @@
     assert_eq!(plan.copies, 0);
 }
 
+/// Guards against plans that take long on a small VM: changes that no gain could pay for are not
+/// looked for. Each try of this demand adds a copy or two.
+#[test]
+fn hopeless_copies_are_not_tried() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let paces = vec![1.0; RANKS];
+    for least_gain in [0.05, 0.1, 0.4] {
+        let settings = Settings {
+            least_gain,
+            ..Settings::default()
+        };
+        for _ in 0..30 {
+            let plan = plan_set(&draw_demand(&mut rng), &paces, &deal(), &settings);
+            let most = plan.copies as f64 + (plan.after - 1.0) / least_gain + 1.0;
+            assert!((plan.tries as f64) <= most, "{plan:?}");
+        }
+    }
+}
+
 /// Guards against a slow rank that keeps its experts and so slows every pass.
 #[test]
 fn slow_rank_gives_up_experts() {
