Move streams off a slow rank, and give it no work while its group is faster without it

When the other ranks had no slots free it was given new work too. Change: routing::pace finds the slowest pace with which a group in lock-step does most work; ranks beyond it get no requests, and streams that may be sent once more leave them and go on elsewhere after the last whole event. A resumed stream no longer counts as a sample of the time to the first event. The tests of slow_ranks need the new decisions; full_group_spares_slow_rank fails with the old one. Ruled out: the experts of the slow rank; plans already give them away (skew 1.3 after each plan).

--- a/crates/request/src/direct.rs
+++ b/crates/request/src/direct.rs
@@ -17,6 +17,10 @@
 /// Time that must be left for another attempt to be worth it.
 const LEAST_TIME: Duration = Duration::from_millis(40);
 
+/// Time that must be left for a request to leave an attempt that makes progress: the next one
+/// begins with the prompt.
+const LEAST_MOVE_TIME: Duration = Duration::from_millis(500);
+
 /// How one attempt ended without success.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -134,6 +138,18 @@
         }
     }
 
+    /// Decides whether an attempt that makes progress, but slowly, ends so that another backend
+    /// server goes on with the request.
+    pub fn may_leave(&mut self, target: &AgentId, budget: &mut RetryBudget, now: Time) -> bool {
+        let useful = self.sent < self.most && now + LEAST_MOVE_TIME < self.deadline;
+        let leaves = self.repeatable && useful && budget.take();
+        if leaves {
+            self.avoid.push(target.clone());
+            self.may_have_run = true;
+        }
+        leaves
+    }
+
     /// What the caller is told when no backend server can be chosen.
     pub fn give_up(&self, reason: Reason) -> Next {
         if self.may_have_run {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod health;
 pub mod limit;
 pub mod lively;
+pub mod pace;
 pub mod picker;
 pub mod policy;
 pub mod quota;
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -20,6 +20,7 @@
 use crate::Verdict;
 use crate::health;
 use crate::health::Cause;
+use crate::pace;
 use crate::policy::Candidate;
 use crate::policy::Tuning;
 use crate::subset::stable_hash;
@@ -28,8 +29,8 @@
 /// was paused and the answers may still be unread.
 const LONGEST_GAP: Duration = Duration::from_secs(1);
 
-/// Pace over the best one from which a replica is left out.
-const SLOW_PACE: f64 = 1.5;
+/// Pace up to which no replica is looked at more closely.
+const USUAL_PACE: f64 = 1.05;
 
 /// Options of a picker.
 #[derive(Debug, Clone, Default)]
@@ -299,20 +300,27 @@
         self.replicas.values_mut().filter_map(due).collect()
     }
 
-    /// Leaves out replicas of a slow pace while the others have slots free. In a group that runs in
-    /// lock-step, work on one slow rank slows every rank down.
+    /// Whether a replica is so slow that the work it has holds its whole group up.
+    pub fn holds_up(&self, agent: &AgentId) -> bool {
+        self.replicas
+            .get(agent)
+            .is_some_and(|r| r.pace > USUAL_PACE && r.pace > self.find_pace_limit())
+    }
+
+    fn find_pace_limit(&self) -> f64 {
+        let open = self.replicas.values().filter(|r| !r.draining);
+        let paces: Vec<f64> = open.map(|r| r.pace).collect();
+        pace::find_limit(&paces)
+    }
+
+    /// Leaves out replicas of a slow pace while there are others.
     fn leave_out_slow(&self, usable: &mut Vec<&Replica>) {
-        let best = usable.iter().map(|r| r.pace).fold(f64::INFINITY, f64::min);
-        let slow = |r: &&Replica| r.pace > best * SLOW_PACE;
-        if !usable.iter().any(slow) {
+        if usable.iter().all(|r| r.pace <= USUAL_PACE) {
             return;
         }
-        let peers = self.estimate_peers();
-        let others: Vec<&&Replica> = usable.iter().filter(|r| !slow(r)).collect();
-        let load: f64 = others.iter().map(|r| r.estimate(peers)).sum();
-        let slots: f64 = others.iter().map(|r| f64::from(r.report.slots)).sum();
-        if load < slots {
-            usable.retain(|r| !slow(r));
+        let limit = self.find_pace_limit();
+        if usable.iter().any(|r| r.pace <= limit) {
+            usable.retain(|r| r.pace <= limit);
         }
     }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -112,6 +112,8 @@
     LinkLost => "link_lost", 502, "The connection to the replica was lost.";
     /// The agent stopped answering.
     Stalled => "stalled", 504, "The replica stopped answering.";
+    /// The replica holds the others of its group up.
+    SlowReplica => "slow_replica", 503, "The replica is much slower than the others.";
     /// The backend server failed.
     BackendFailed => "backend_failed", 502, "The backend server failed.";
     /// The frame does not belong to the request.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 
 use siskinbend_link::Link;
 use siskinbend_link::Pool;
+use siskinbend_request::Attempts;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::Done;
 use siskinbend_routing::Limit;
@@ -289,6 +290,12 @@
             .find_silence(&target.id, begun, now)
     }
 
+    /// Whether a request leaves a backend server that holds its group up, to go on elsewhere.
+    pub fn leaves(&mut self, target: &Target, attempts: &mut Attempts, now: Time) -> bool {
+        let pick = self.service(&target.service);
+        pick.picker.holds_up(&target.id) && attempts.may_leave(&target.id, &mut pick.budget, now)
+    }
+
     /// One replica of each service whose engines have agents, the others of the service after it
     /// in the order in which they lead.
     pub fn list_groups(&self, services: &[ServiceName]) -> Vec<Vec<SocketAddr>> {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -29,6 +29,7 @@
 use super::attempt::wait_silence;
 use super::fleet::Flight;
 use super::fleet::Taken;
+use super::fleet::Target;
 use super::plain;
 use super::serve::refuse;
 
@@ -45,7 +46,7 @@
     flight: Flight,
     link: Option<Link>,
     body: Incoming,
-    /// Whether this attempt has sent an event.
+    /// Whether the time to the first event was noted.
     begun: bool,
     /// When the caller was last sent an event.
     passed: Option<Time>,
@@ -57,6 +58,8 @@
 enum Part {
     Events(Bytes),
     End,
+    /// The replica holds its group up; another one is to go on.
+    Left,
     Broken(Ending),
 }
 
@@ -132,20 +135,46 @@
                     self.finish();
                     return None;
                 }
+                Part::Left => {
+                    self.gateway.metrics.count_retry(Reason::SlowReplica);
+                    self.flight.end(Done::Cancelled);
+                    if let Err(reason) = self.resume(Reason::SlowReplica).await {
+                        return Some(Err(self.cut(reason)));
+                    }
+                }
                 Part::Broken(ending) => {
-                    if let Err(reason) = self.resume(ending).await {
-                        self.ended = true;
-                        let id = &self.call.head.id;
-                        log::info!(request:% = id, reason:% = reason; "stream_cut");
-                        self.gateway.metrics.count_refusal(reason);
-                        return Some(Err(Error::other(reason.as_str())));
+                    self.flight.end(match ending {
+                        Ending::Silent => Done::Stalled,
+                        _ => Done::Failed,
+                    });
+                    let target = self.flight.target.clone();
+                    let resumed = match self.end_attempt(&target, ending) {
+                        Ok(()) => self.resume(ending.reason()).await,
+                        Err(reason) => Err(reason),
+                    };
+                    if let Err(reason) = resumed {
+                        return Some(Err(self.cut(reason)));
                     }
                 }
             }
         }
     }
 
+    /// Ends the stream before its end.
+    fn cut(&mut self, reason: Reason) -> Error {
+        self.ended = true;
+        let id = &self.call.head.id;
+        log::info!(request:% = id, reason:% = reason; "stream_cut");
+        self.gateway.metrics.count_refusal(reason);
+        Error::other(reason.as_str())
+    }
+
     async fn read(&mut self) -> Part {
+        let now = self.gateway.now();
+        let target = &self.flight.target;
+        if self.gateway.fleet().leaves(target, &mut self.attempts, now) {
+            return Part::Left;
+        }
         let frame = tokio::select! {
             frame = self.body.frame() => frame,
             () = wait_silence(&self.gateway, &self.call, &self.flight) => {
@@ -212,48 +241,47 @@
         plain::end_request(&self.gateway, &self.call, &self.flight.target, status);
     }
 
+    /// Decides whether another attempt follows one that ended.
+    fn end_attempt(&mut self, target: &Target, ending: Ending) -> Result<(), Reason> {
+        let attempts = &mut self.attempts;
+        match end_attempt(&self.gateway, &self.call, attempts, target, ending) {
+            Next::Retry => Ok(()),
+            Next::PassOn => Err(Reason::BackendFailed),
+            Next::Refuse(reason) | Next::Fail(reason) => Err(reason),
+        }
+    }
+
     /// Goes on at another replica after the last whole event.
-    async fn resume(&mut self, ending: Ending) -> Result<(), Reason> {
-        let mut ending = ending;
-        let mut target = self.flight.target.clone();
-        self.flight.end(match ending {
-            Ending::Silent => Done::Stalled,
-            _ => Done::Failed,
-        });
+    async fn resume(&mut self, cause: Reason) -> Result<(), Reason> {
+        let mut cause = cause;
         self.link = None;
         self.events.drop_partial();
         loop {
-            let attempts = &mut self.attempts;
-            match end_attempt(&self.gateway, &self.call, attempts, &target, ending) {
-                Next::Retry => {}
-                Next::PassOn => return Err(Reason::BackendFailed),
-                Next::Refuse(reason) | Next::Fail(reason) => return Err(reason),
-            }
             let last = self.events.last().cloned();
             log::info!(
                 request:% = self.call.head.id,
                 after = last.as_deref().unwrap_or_default(),
-                cause:% = ending.reason();
+                cause:% = cause;
                 "stream_resumed"
             );
-            match send(&self.gateway, &self.call, &mut self.attempts, last).await? {
-                Ok(reply) if reply.response.status().is_success() => {
-                    self.flight = reply.flight;
-                    self.link = Some(reply.link);
-                    self.body = reply.response.into_body();
-                    self.begun = false;
-                    return Ok(());
-                }
-                Ok(mut reply) => {
-                    reply.flight.end(Done::Failed);
-                    target = reply.flight.target.clone();
-                    ending = Ending::Failed;
-                }
-                Err(failed) => {
-                    target = failed.flight.target.clone();
-                    ending = failed.ending;
-                }
-            }
+            let (target, ending) =
+                match send(&self.gateway, &self.call, &mut self.attempts, last).await? {
+                    Ok(reply) if reply.response.status().is_success() => {
+                        self.flight = reply.flight;
+                        self.link = Some(reply.link);
+                        self.body = reply.response.into_body();
+                        // Its first event says nothing about how soon it answers new requests.
+                        self.begun = true;
+                        return Ok(());
+                    }
+                    Ok(mut reply) => {
+                        reply.flight.end(Done::Failed);
+                        (reply.flight.target.clone(), Ending::Failed)
+                    }
+                    Err(failed) => (failed.flight.target.clone(), failed.ending),
+                };
+            self.end_attempt(&target, ending)?;
+            cause = ending.reason();
         }
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -44,6 +44,7 @@
 mod rollout;
 mod sample;
 mod site_view;
+mod slow_ranks;
 mod standins;
 mod store;
 mod subset_choice;
