Hold passes beside the next agent, and end a frozen leader's switch without its rank

The held pass was at its own rank, which can't be read meanwhile, so the group stood still for four seconds. Change: passes are held at the rank after the coordinator's; the coordinator arms its own rank last and gives hold and go itself; a recovery goes on without that rank while one of the others is not armed, disarms only versions lower than its own, and begins anew when a rank stays unread. Versions tell who drew them. frozen_giver_stops_nothing and newer_switch_is_left fail without it.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -33,6 +33,39 @@
 const PREPARE_TIME: Duration = Duration::from_secs(6);
 /// Holds that may come too late before a switch is given up.
 const MOST_HOLDS: u32 = 5;
+/// Rounds in which a rank may be unread before a recovery is begun anew, without it.
+const MOST_UNREAD: u32 = 5;
+/// Lowest bits of a version, which tell the rank of the coordinator that drew it.
+const RANK_BITS: u32 = 10;
+/// Bits above them that are drawn at random, so that a coordinator that was started anew never
+/// uses a version twice.
+const RANDOM_BITS: u32 = 18;
+
+/// A version higher than all that the ranks have had, used by no other switch. `giver` is the rank
+/// of the coordinator.
+pub fn draw_version(states: &[RankState], giver: usize, random: u64) -> u64 {
+    let versions = states.iter().flat_map(|s| {
+        let armed = s.armed.map_or(0, |a| a.version);
+        [s.map, s.prepared.unwrap_or(0), armed]
+    });
+    let highest = versions.max().unwrap_or(0) >> (RANK_BITS + RANDOM_BITS);
+    let random = random & ((1 << RANDOM_BITS) - 1);
+    let giver = giver as u64 & ((1 << RANK_BITS) - 1);
+    ((highest + 1) << RANDOM_BITS | random) << RANK_BITS | giver
+}
+
+/// The rank of the coordinator that drew a version, in a group of `size` ranks; `None` if it can't
+/// be told.
+fn find_giver(version: u64, size: usize) -> Option<usize> {
+    let giver = (version & ((1 << RANK_BITS) - 1)) as usize;
+    (size <= 1 << RANK_BITS).then_some(giver)
+}
+
+/// The rank at which a coordinator holds its passes. It is on another VM than the coordinator, so
+/// that the group need not wait for that VM, and no two coordinators have the same one.
+fn hold_rank(giver: usize, size: usize) -> usize {
+    (giver + 1) % size
+}
 
 /// How a switch or a recovery ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
@@ -85,7 +118,7 @@
 /// What a switch is to bring about.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Goal {
-    /// The rank at which the pass is held: the coordinator's own one.
+    /// The coordinator's own rank.
     pub own: usize,
     /// The group's epoch.
     pub epoch: u64,
@@ -103,6 +136,8 @@
 pub struct Switch {
     goal: Goal,
     size: usize,
+    /// The rank at which the pass is held.
+    holder: usize,
     phase: Phase,
     begun: Time,
     /// When each rank was last asked to prepare the map.
@@ -117,6 +152,7 @@
     /// A switch of a group of `size` ranks.
     pub fn new(goal: Goal, size: usize, now: Time) -> Switch {
         Switch {
+            holder: hold_rank(goal.own, size),
             goal,
             size,
             phase: Phase::Preparing,
@@ -143,7 +179,7 @@
         match self.phase {
             Phase::Preparing => !self.ready[rank],
             Phase::Arming { .. } => !self.armed[rank],
-            Phase::Holding { .. } | Phase::Releasing { .. } => rank == self.goal.own,
+            Phase::Holding { .. } | Phase::Releasing { .. } => rank == self.holder,
         }
     }
 
@@ -204,33 +240,33 @@
     }
 
     fn choose_pass(&mut self, seen: &[Option<RankState>], tries: u32) -> Round {
-        let Some(own) = &seen[self.goal.own] else {
+        let Some(holder) = &seen[self.holder] else {
             return Round::default();
         };
-        if tries >= MOST_HOLDS || own.held.is_some() {
+        if tries >= MOST_HOLDS || holder.held.is_some() {
             return Round::end(Ended::Abandoned);
         }
-        let step = (own.step + LEAD_PASSES).max(self.goal.floor + 1);
-        if step > own.step + MOST_LEAD {
+        let step = (holder.step + LEAD_PASSES).max(self.goal.floor + 1);
+        if step > holder.step + MOST_LEAD {
             // The pass is too far ahead while the group stands still.
             return Round::default();
         }
         self.phase = Phase::Holding { step, tries };
-        Round::one(self.goal.own, Task::Hold { step }, self.goal.epoch)
+        Round::one(self.holder, Task::Hold { step }, self.goal.epoch)
     }
 
     fn hold(&mut self, seen: &[Option<RankState>], step: u64, tries: u32) -> Round {
-        let Some(own) = &seen[self.goal.own] else {
+        let Some(holder) = &seen[self.holder] else {
             return Round::default();
         };
-        if own.held == Some(step) {
+        if holder.held == Some(step) {
             self.phase = Phase::Arming { step };
             return self.arm(seen, step);
         }
-        if own.step >= step {
+        if holder.step >= step {
             return self.choose_pass(seen, tries + 1);
         }
-        Round::one(self.goal.own, Task::Hold { step }, self.goal.epoch)
+        Round::one(self.holder, Task::Hold { step }, self.goal.epoch)
     }
 
     fn arm(&mut self, seen: &[Option<RankState>], step: u64) -> Round {
@@ -245,7 +281,7 @@
                 self.armed[rank] = true;
             } else if state.prepared != Some(version) {
                 return Round::end(Ended::Blocked);
-            } else {
+            } else if rank != self.goal.own || self.others_armed() {
                 let task = Task::Arm(wanted);
                 let epoch = self.goal.epoch;
                 round.orders.push((rank, Order { task, epoch }));
@@ -258,12 +294,24 @@
         self.release(seen, step)
     }
 
+    /// Whether all ranks but the coordinator's own are armed. Its own is armed last, so that it is
+    /// known not to be while another one isn't.
+    fn others_armed(&self) -> bool {
+        let own = self.goal.own;
+        let mut others = self
+            .armed
+            .iter()
+            .enumerate()
+            .filter(|(rank, _)| *rank != own);
+        others.all(|(_, armed)| *armed)
+    }
+
     /// Lets the pass begin. A late copy of the hold may stop it again, which a recovery ends.
     fn release(&mut self, seen: &[Option<RankState>], step: u64) -> Round {
-        match &seen[self.goal.own] {
+        match &seen[self.holder] {
             None => Round::default(),
-            Some(own) if own.held == Some(step) => {
-                Round::one(self.goal.own, Task::Go { step }, self.goal.epoch)
+            Some(holder) if holder.held == Some(step) => {
+                Round::one(self.holder, Task::Go { step }, self.goal.epoch)
             }
             Some(_) => Round::end(Ended::Switched),
         }
@@ -280,47 +328,77 @@
 /// Ends a switch that its coordinator left unfinished.
 #[derive(Debug)]
 pub struct Recovery {
-    /// The rank at which the pass is held.
-    held: usize,
-    step: u64,
-    epoch: u64,
-    /// Higher than all versions that the ranks have had.
-    version: u64,
-    /// The map in force, by set and rank.
-    map: Vec<Placement>,
+    goal: Release,
     /// Whether a rank that was never armed has prepared the higher version.
     blocked: bool,
+    /// Rounds one after another in which a rank could not be read.
+    unread: u32,
+}
+
+/// What a recovery is to bring about.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Release {
+    /// The rank at which the pass is held.
+    pub held: usize,
+    /// The pass.
+    pub step: u64,
+    /// The group's epoch.
+    pub epoch: u64,
+    /// Higher than all versions that the ranks have had.
+    pub version: u64,
+    /// A map that no rank has to copy experts for, by set and rank.
+    pub map: Vec<Placement>,
+    /// A rank that can't be read.
+    pub missing: Option<usize>,
 }
 
 impl Recovery {
-    /// A recovery of the pass `step`, held at the rank `held`.
-    pub fn new(held: usize, step: u64, epoch: u64, version: u64, map: Vec<Placement>) -> Recovery {
+    /// A recovery that lets a held pass begin.
+    pub fn new(goal: Release) -> Recovery {
         Recovery {
-            held,
-            step,
-            epoch,
-            version,
-            map,
+            goal,
             blocked: false,
+            unread: 0,
         }
     }
 
+    /// Whether a rank has to be read again before the next round.
+    pub fn needs(&self, rank: usize) -> bool {
+        self.goal.missing != Some(rank)
+    }
+
     /// Looks at the ranks, all read after the last round of orders, and decides what follows.
     pub fn advance(&mut self, seen: &[Option<RankState>]) -> Round {
-        if seen.iter().flatten().any(|s| s.epoch != self.epoch) {
+        let Release {
+            held, step, epoch, ..
+        } = self.goal;
+        if seen.iter().flatten().any(|s| s.epoch != epoch) {
             return Round::end(Ended::Reopened);
         }
-        let Some(held) = &seen[self.held] else {
+        let Some(holder) = &seen[held] else {
             return Round::default();
         };
-        if held.held != Some(self.step) {
+        if holder.held != Some(step) {
             return Round::end(Ended::Released);
         }
         // All ranks may also be armed for a later pass, if a hold arrived long after its switch.
         let armed = |s: &Option<RankState>| s.as_ref().and_then(|s| s.armed);
-        let all = armed(&seen[self.held]).filter(|a| a.step >= self.step);
+        let all = armed(&seen[held]).filter(|a| a.step >= step);
         if all.is_some() && seen.iter().all(|s| armed(s) == all) {
-            return Round::one(self.held, Task::Go { step: self.step }, self.epoch);
+            return Round::one(held, Task::Go { step }, epoch);
+        }
+        let unread = |(rank, state): (usize, &Option<RankState>)| {
+            state.is_none() && self.goal.missing != Some(rank)
+        };
+        self.unread = if seen.iter().enumerate().any(unread) {
+            self.unread + 1
+        } else {
+            0
+        };
+        let newer = |armed: Armed| armed.version >= self.goal.version;
+        let stuck = self.unread >= MOST_UNREAD;
+        if stuck || seen.iter().filter_map(armed).any(newer) || !self.may_go_without(seen) {
+            return Round::end(Ended::Blocked);
         }
         if !self.blocked {
             return self.block(seen);
@@ -328,10 +406,27 @@
         self.clear(seen)
     }
 
+    /// Whether the rank that can't be read, if any, is certainly not armed for the held pass.
+    ///
+    /// It is that of the coordinator that holds the pass, which arms itself only after all others;
+    /// and one of the others is not armed.
+    fn may_go_without(&self, seen: &[Option<RankState>]) -> bool {
+        let Some(missing) = self.goal.missing else {
+            return true;
+        };
+        let size = seen.len();
+        let own_hold = hold_rank(missing, size) == self.goal.held;
+        let own_switch = seen.iter().flatten().filter_map(|s| s.armed).all(|armed| {
+            armed.step >= self.goal.step && find_giver(armed.version, size) == Some(missing)
+        });
+        let unarmed = seen.iter().flatten().any(|s| s.armed.is_none());
+        seen[missing].is_none() && own_hold && own_switch && unarmed
+    }
+
     /// Makes one unarmed rank refuse the switch for good.
     fn block(&mut self, seen: &[Option<RankState>]) -> Round {
         let unarmed = |s: &&RankState| s.armed.is_none();
-        let safe = |s: &&RankState| unarmed(s) && s.prepared.unwrap_or(0) >= self.version;
+        let safe = |s: &&RankState| unarmed(s) && s.prepared.unwrap_or(0) >= self.goal.version;
         if seen.iter().flatten().any(|s| safe(&s)) {
             self.blocked = true;
             return self.clear(seen);
@@ -340,7 +435,7 @@
             .iter()
             .position(|s| s.as_ref().is_some_and(|s| unarmed(&s) && !s.busy));
         match first {
-            Some(rank) => Round::one(rank, self.prepare(), self.epoch),
+            Some(rank) => Round::one(rank, self.prepare(), self.goal.epoch),
             None => Round::default(),
         }
     }
@@ -349,32 +444,34 @@
     fn clear(&self, seen: &[Option<RankState>]) -> Round {
         let mut round = Round::default();
         let mut clear = 0;
+        let epoch = self.goal.epoch;
         for (rank, state) in seen.iter().enumerate() {
             let Some(state) = state else { continue };
             let task = match state.armed {
                 Some(armed) => Task::Disarm {
                     version: armed.version,
                 },
-                None if state.prepared.unwrap_or(0) >= self.version => {
+                None if state.prepared.unwrap_or(0) >= self.goal.version => {
                     clear += 1;
                     continue;
                 }
                 None if state.busy => continue,
                 None => self.prepare(),
             };
-            let epoch = self.epoch;
             round.orders.push((rank, Order { task, epoch }));
         }
-        if clear == seen.len() {
-            return Round::one(self.held, Task::Go { step: self.step }, self.epoch);
+        let readable = seen.len() - usize::from(self.goal.missing.is_some());
+        if clear == readable {
+            let step = self.goal.step;
+            return Round::one(self.goal.held, Task::Go { step }, epoch);
         }
         round
     }
 
     fn prepare(&self) -> Task {
         Task::Prepare {
-            version: self.version,
-            map: self.map.clone(),
+            version: self.goal.version,
+            map: self.goal.map.clone(),
         }
     }
 }
--- a/crates/placement/src/recent.rs
+++ b/crates/placement/src/recent.rs
@@ -77,6 +77,16 @@
         }
     }
 
+    /// Experts of all sets that were counted.
+    pub fn len(&self) -> usize {
+        self.weights.len()
+    }
+
+    /// Whether nothing was counted yet.
+    pub fn is_empty(&self) -> bool {
+        self.weights.is_empty()
+    }
+
     /// The demand of each expert, set after set; `None` if too little was counted lately.
     pub fn estimate(&mut self, now: Time) -> Option<&[f64]> {
         self.fade(now);
--- a/src/rank_agent/roster.rs
+++ b/src/rank_agent/roster.rs
@@ -295,4 +295,14 @@
                 .all(|(rank, push)| usize::from(push.state.rank) == rank);
         complete.then(|| fresh.iter().map(|push| push.rank).collect())
     }
+
+    /// The one rank that was not heard lately while all others of the group were.
+    pub fn find_missing(&self, now: Time) -> Option<usize> {
+        let fresh = self.list_fresh(now);
+        let size = usize::from(fresh.first()?.state.size);
+        let heard: BTreeSet<usize> = fresh.iter().map(|p| usize::from(p.state.rank)).collect();
+        let mut missing = (0..size).filter(|rank| !heard.contains(rank));
+        let only = missing.next()?;
+        (missing.next().is_none() && fresh.len() + 1 == size).then_some(only)
+    }
 }
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -1,5 +1,8 @@
 //! The leader's work: plans a new map, drives the switch, ends what another one left unfinished.
 
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,8 +11,10 @@
 use siskinbend_groups::orders::Ended;
 use siskinbend_groups::orders::Goal;
 use siskinbend_groups::orders::Recovery;
+use siskinbend_groups::orders::Release;
 use siskinbend_groups::orders::Round;
 use siskinbend_groups::orders::Switch;
+use siskinbend_groups::orders::draw_version;
 use siskinbend_groups::orders::find_hold;
 use siskinbend_placement::even::Settings;
 use siskinbend_placement::even::plan_set;
@@ -17,6 +22,7 @@
 use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
 use siskinbend_site::engine::RankState;
+use siskinbend_site::engine::Task;
 use siskinbend_types::Time;
 use tokio::time::sleep;
 
@@ -41,8 +47,6 @@
 const ORPHAN_TIME: Duration = Duration::from_millis(300);
 /// Longest time that a switch or recovery is driven before the group is looked at anew.
 const DRIVE_TIME: Duration = Duration::from_secs(12);
-/// Bits of a version that are drawn at random, so that no two switches ever use the same one.
-const RANDOM_BITS: u32 = 24;
 /// Least expected gain of a switch: the sum over the sets of highest load over mean load.
 const LEAST_GAIN: f64 = 0.3;
 /// Gain in one set that copying a GB must bring.
@@ -54,11 +58,16 @@
 const LEAST_COPY: f64 = 0.03;
 const MOST_COPY: f64 = 0.1;
 
+/// Stands for the address of a rank that was not heard.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// The group as the agents told it.
 struct Group {
     ranks: Vec<SocketAddr>,
     states: Vec<RankState>,
     map: Vec<Placement>,
+    /// A rank that could not be read; its address and state mean nothing.
+    missing: Option<usize>,
 }
 
 /// Leads the group whenever this agent is the first one that answers, until it is asked to stop.
@@ -75,7 +84,7 @@
             orphan = None;
             continue;
         };
-        if find_hold(&group.states).is_some() {
+        if find_hold(&group.list_states()).is_some() {
             let since = *orphan.get_or_insert(now);
             if now.since(since) >= ORPHAN_TIME {
                 recover(agent, &group).await;
@@ -84,7 +93,7 @@
             continue;
         }
         orphan = None;
-        if group.is_calm() {
+        if group.missing.is_none() && group.is_calm() {
             improve(agent, &group).await;
         }
     }
@@ -114,29 +123,64 @@
     }
 }
 
-/// The whole group, if this agent leads it and every rank was heard lately.
+/// The group, if this agent leads it and every rank but at most one was heard lately.
 fn read_group(agent: &Agent, now: Time) -> Option<Group> {
     let roster = agent.roster();
     if !roster.list_candidates(now).is_empty() {
         return None;
     }
-    let ranks = roster.list_ranks(now)?;
-    let fresh = roster.list_fresh(now);
+    let missing = roster.find_missing(now);
+    if missing.is_none() {
+        roster.list_ranks(now)?;
+    }
+    let mut fresh: Vec<Push> = roster.list_fresh(now).into_iter().cloned().collect();
     let sets = fresh.first()?.placement.len();
+    if let Some(rank) = missing {
+        let nothing = Push {
+            rank: NO_ADDRESS,
+            state: RankState::default(),
+            chosen: Vec::new(),
+            placement: vec![Vec::new(); sets],
+        };
+        fresh.insert(rank, nothing);
+    }
     let map = (0..sets)
         .map(|set| {
-            let experts = |p: &&Push| p.placement.get(set).cloned();
+            let experts = |p: &Push| p.placement.get(set).cloned();
             fresh.iter().filter_map(experts).collect()
         })
         .collect();
     Some(Group {
-        ranks,
-        states: fresh.iter().map(|p| p.state.clone()).collect(),
+        ranks: fresh.iter().map(|p| p.rank).collect(),
+        states: fresh.into_iter().map(|p| p.state).collect(),
         map,
+        missing,
     })
 }
 
 impl Group {
+    /// States of the ranks that were read.
+    fn list_states(&self) -> Vec<RankState> {
+        let read = |(rank, _): &(usize, &RankState)| self.missing != Some(*rank);
+        let states = self.states.iter().enumerate().filter(read);
+        states.map(|(_, state)| state.clone()).collect()
+    }
+
+    /// A map that no rank has to copy experts for. Experts that no rank was seen to hold are at
+    /// the one that could not be read.
+    fn complete_map(&self, experts: usize) -> Vec<Placement> {
+        let mut map = self.map.clone();
+        let Some(missing) = self.missing else {
+            return map;
+        };
+        for set in &mut map {
+            let held: BTreeSet<u16> = set.iter().flatten().copied().collect();
+            let experts = 0..u16::try_from(experts).unwrap_or(u16::MAX);
+            set[missing] = experts.filter(|e| !held.contains(e)).collect();
+        }
+        map
+    }
+
     /// Whether all ranks use the same map and none is about to change it.
     fn is_calm(&self) -> bool {
         let first = &self.states[0];
@@ -150,17 +194,6 @@
     }
 }
 
-/// A version higher than all that the ranks have had, never used before.
-fn draw_version(states: &[RankState]) -> u64 {
-    let versions = states.iter().flat_map(|s| {
-        let armed = s.armed.map_or(0, |a| a.version);
-        [s.map, s.prepared.unwrap_or(0), armed]
-    });
-    let highest = versions.max().unwrap_or(0) >> RANDOM_BITS;
-    let random = u64::from(rand::random::<u32>() >> (u32::BITS - RANDOM_BITS));
-    ((highest + 1) << RANDOM_BITS) | random
-}
-
 async fn improve(agent: &Arc<Agent>, group: &Group) {
     let now = agent.now();
     let demand: Vec<f64> = match agent.roster().demand.estimate(now) {
@@ -198,7 +231,7 @@
     let goal = Goal {
         own,
         epoch: group.states[own].epoch,
-        version: draw_version(&group.states),
+        version: draw_version(&group.states, own, rand::random()),
         map,
         floor,
     };
@@ -277,21 +310,37 @@
 
 /// Ends the switch whose pass is held at a rank.
 async fn recover(agent: &Arc<Agent>, group: &Group) {
-    let seen = read_fresh(agent, &group.ranks).await;
-    let states: Option<Vec<RankState>> = seen.into_iter().collect();
+    let mut addresses = group.ranks.clone();
+    addresses.retain(|address| *address != NO_ADDRESS);
+    let mut seen = read_fresh(agent, &addresses).await;
+    let states: Option<Vec<RankState>> = seen.iter().cloned().collect();
     let Some(states) = states else {
         return;
     };
-    let Some((rank, step)) = find_hold(&states) else {
+    if let Some(missing) = group.missing {
+        seen.insert(missing, None);
+    }
+    let Some((place, step)) = find_hold(&states) else {
         return;
     };
-    let epoch = states[rank].epoch;
-    let version = draw_version(&states);
-    log::warn!(rank, step, version; "recovery_started");
-    let mut recovery = Recovery::new(rank, step, epoch, version, group.map.clone());
-    let seen = states.into_iter().map(Some).collect();
+    let Some(own) = group.ranks.iter().position(|r| *r == agent.own) else {
+        return;
+    };
+    let held = usize::from(states[place].rank);
+    let epoch = states[place].epoch;
+    let version = draw_version(&states, own, rand::random());
+    let experts = agent.roster().demand.len() / group.map.len().max(1);
+    log::warn!(rank = held, step, version, missing:? = group.missing; "recovery_started");
+    let mut recovery = Recovery::new(Release {
+        held,
+        step,
+        epoch,
+        version,
+        map: group.complete_map(experts),
+        missing: group.missing,
+    });
     let ended = drive(agent, group, seen, &mut recovery).await;
-    log::warn!(rank, step, outcome:% = describe(ended); "recovery_ended");
+    log::warn!(rank = held, step, outcome:% = describe(ended); "recovery_ended");
 }
 
 fn describe(ended: Option<Ended>) -> String {
@@ -336,8 +385,8 @@
 
     fn hear(&mut self, _rank: usize, _order: &Order, _reply: OrderReply) {}
 
-    fn needs(&self, _rank: usize) -> bool {
-        true
+    fn needs(&self, rank: usize) -> bool {
+        Recovery::needs(self, rank)
     }
 
     fn is_urgent(&self) -> bool {
@@ -405,7 +454,9 @@
 
 async fn give(agent: &Arc<Agent>, group: &Group, rank: SocketAddr, order: &Order) -> OrderReply {
     let direct = rank == agent.own || agent.roster().is_direct(rank);
-    let passed = match direct {
+    // A pass is stopped and released by one VM only: any other one might freeze with the order.
+    let urgent = matches!(order.task, Task::Hold { .. } | Task::Go { .. });
+    let passed = match direct || urgent {
         true => None,
         false => pass(agent, group, rank, order).await,
     };
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -8,8 +8,10 @@
 use siskinbend_groups::orders::Goal;
 use siskinbend_groups::orders::MOST_LEAD;
 use siskinbend_groups::orders::Recovery;
+use siskinbend_groups::orders::Release;
 use siskinbend_groups::orders::Round;
 use siskinbend_groups::orders::Switch;
+use siskinbend_groups::orders::draw_version;
 use siskinbend_groups::orders::find_hold;
 use siskinbend_site::engine::Armed;
 use siskinbend_site::engine::Order;
@@ -23,6 +25,9 @@
 /// Ticks for which an order may be late; a pass takes about three.
 const LATE_TICKS: u64 = 40;
 
+/// Ticks for which a pass is held only if nobody ends the switch.
+const LONG_TICKS: u32 = 15;
+
 /// Chances of trouble, 0 to 1 a tick or an order.
 #[derive(Debug, Clone, Copy)]
 struct Trouble {
@@ -32,8 +37,11 @@
     frozen: f64,
     killed: f64,
     reopened: f64,
-    /// Whether every coordinator believes that it leads.
+    /// Whether every coordinator believes that it leads; otherwise the first that isn't frozen
+    /// does, and only the first freezes.
     rivals: bool,
+    /// Whether the rank beside a frozen coordinator can't be reached.
+    cut: bool,
 }
 
 const CALM: Trouble = Trouble {
@@ -44,6 +52,7 @@
     killed: 0.0,
     reopened: 0.0,
     rivals: false,
+    cut: false,
 };
 
 const WORST: Trouble = Trouble {
@@ -54,6 +63,7 @@
     killed: 0.005,
     reopened: 0.001,
     rivals: true,
+    cut: true,
 };
 
 #[derive(Debug, Clone, Default)]
@@ -160,6 +170,17 @@
         }
     }
 
+    fn is_held(&self) -> bool {
+        let step = self.ranks[0].state.step;
+        let held = |r: &Rank| r.state.held.is_some_and(|held| held <= step + 1);
+        self.ranks.iter().any(held)
+    }
+
+    /// Whether a rank other than the first coordinator's is not armed.
+    fn is_half_armed(&self) -> bool {
+        self.ranks[1..].iter().any(|r| r.state.armed.is_none())
+    }
+
     fn reopen(&mut self) {
         for rank in &mut self.ranks {
             rank.state = RankState {
@@ -222,19 +243,31 @@
     }
 
     fn begin(&mut self, seen: &[Option<RankState>], version: u64, now: Time) -> Round {
-        let Some(states) = seen.iter().cloned().collect::<Option<Vec<RankState>>>() else {
+        let unread: Vec<usize> = (0..RANKS).filter(|rank| seen[*rank].is_none()).collect();
+        let states: Vec<RankState> = seen.iter().flatten().cloned().collect();
+        if unread.len() > 1 {
             return Round::default();
-        };
+        }
         let epoch = states[0].epoch;
-        if let Some((held, step)) = find_hold(&states) {
+        if let Some((place, step)) = find_hold(&states) {
             self.orphan += 1;
             if self.orphan > 2 {
                 self.orphan = 0;
-                let recovery = Recovery::new(held, step, epoch, version, Vec::new());
+                let recovery = Recovery::new(Release {
+                    held: usize::from(states[place].rank),
+                    step,
+                    epoch,
+                    version,
+                    map: Vec::new(),
+                    missing: unread.first().copied(),
+                });
                 self.work = Work::Recovery(Box::new(recovery));
             }
             return Round::default();
         }
+        if !unread.is_empty() {
+            return Round::default();
+        }
         self.orphan = 0;
         let calm = |s: &RankState| s.armed.is_none() && s.map == states[0].map;
         if !states.iter().all(calm) {
@@ -258,11 +291,21 @@
     }
 }
 
-/// Runs a group and its coordinators; returns the completed switches.
-fn run(seed: u64, trouble: Trouble) -> u32 {
+/// What a run came to.
+#[derive(Debug, Default)]
+struct Tally {
+    /// Completed switches.
+    switched: u32,
+    /// Times that a pass was held for [`LONG_TICKS`] while the other ranks were not all armed.
+    stops: u32,
+}
+
+/// Runs a group and its coordinators.
+fn run(seed: u64, trouble: Trouble) -> Tally {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut group = Group::new();
     let mut all: Vec<Coordinator> = (0..COORDINATORS).map(Coordinator::new).collect();
+    let (mut held_for, mut stops) = (0, 0);
     for tick in 0..TICKS {
         // The last part is calm, so that whatever was left unfinished has to end.
         let trouble = if tick < TICKS * 3 / 4 { trouble } else { CALM };
@@ -273,30 +316,38 @@
         if tick % 3 == 0 {
             group.pass(seed);
         }
+        let needless = group.is_held() && group.is_half_armed();
+        held_for = if needless { held_for + 1 } else { 0 };
+        stops += u32::from(held_for == LONG_TICKS);
         if rng.random_bool(trouble.reopened) {
             group.reopen();
         }
-        let leading = if trouble.rivals { COORDINATORS } else { 1 };
-        for leader in all.iter_mut().take(leading) {
+        let frozen = all.iter().filter(|c| c.wakes > tick).count();
+        for leader in &mut all {
             if rng.random_bool(trouble.killed) {
                 *leader = Coordinator::new(leader.own);
             }
-            if rng.random_bool(trouble.frozen) {
+            let leads = trouble.rivals || (frozen == 0 && leader.own == 0);
+            if leads && leader.wakes <= tick && rng.random_bool(trouble.frozen) {
                 leader.wakes = tick + rng.random_range(1..60);
             }
-            if leader.wakes > tick {
-                continue;
-            }
+        }
+        let cut: Vec<bool> = (0..RANKS)
+            .map(|rank| trouble.cut && all.get(rank).is_some_and(|c| c.wakes > tick))
+            .collect();
+        let awake = all.iter_mut().filter(|c| c.wakes <= tick);
+        for leader in awake.take(if trouble.rivals { COORDINATORS } else { 1 }) {
             let seen: Vec<Option<RankState>> = group
                 .ranks
                 .iter()
-                .map(|r| (!rng.random_bool(trouble.unread)).then(|| r.state.clone()))
+                .zip(&cut)
+                .map(|(r, cut)| (!cut && !rng.random_bool(trouble.unread)).then(|| r.state.clone()))
                 .collect();
-            let highest = group.ranks.iter().map(|r| r.highest).max().unwrap_or(0);
-            let version = ((highest >> 24) + 1) << 24 | u64::from(rng.random::<u32>() >> 8);
+            let states: Vec<RankState> = group.ranks.iter().map(|r| r.state.clone()).collect();
+            let version = draw_version(&states, leader.own, rng.random());
             let round = leader.act(&seen, version, Time::from_millis(tick * 20));
             group.switched += u32::from(round.ended == Some(Ended::Switched));
-            for (rank, order) in round.orders {
+            for (rank, order) in round.orders.into_iter().filter(|(rank, _)| !cut[*rank]) {
                 if rng.random_bool(trouble.late) {
                     let at = tick + rng.random_range(1..LATE_TICKS);
                     group.late.push((at, rank, order));
@@ -306,30 +357,31 @@
             }
         }
     }
-    let step = group.ranks[0].state.step;
-    let held = group
-        .ranks
-        .iter()
-        .any(|r| r.state.held.is_some_and(|h| h <= step + 1));
     let states: Vec<&RankState> = group.ranks.iter().map(|r| &r.state).collect();
     let highest: Vec<u64> = group.ranks.iter().map(|r| r.highest).collect();
     assert!(
-        !held,
+        !group.is_held(),
         "a pass is still held at the end of seed {seed}: {states:?} {highest:?}"
     );
-    group.switched
+    Tally {
+        switched: group.switched,
+        stops,
+    }
 }
 
 /// Guards against a switch that never ends although nothing goes wrong.
 #[test]
 fn calm_switches_end() {
-    assert!(run(1, CALM) > 20, "too few switches without any trouble");
+    assert!(
+        run(1, CALM).switched > 20,
+        "too few switches without any trouble"
+    );
 }
 
 /// Guards against two maps in one pass, and against a pass that stays held for good.
 #[test]
 fn one_map_a_pass() {
-    let switched: u32 = (0..400).map(|seed| run(seed, WORST)).sum();
+    let switched: u32 = (0..400).map(|seed| run(seed, WORST).switched).sum();
     assert!(switched > 400, "only {switched} switches in 400 runs");
 }
 
@@ -341,3 +393,58 @@
         run(seed, trouble);
     }
 }
+
+/// Guards against a group that stands still while the VM of its coordinator does. Such a VM can
+/// freeze while a pass is held, and its rank can't be asked. Only if all others are armed may its
+/// own be armed too, which has to be waited for.
+#[test]
+fn frozen_giver_stops_nothing() {
+    let trouble = Trouble {
+        frozen: 0.01,
+        cut: true,
+        ..CALM
+    };
+    let runs: Vec<Tally> = (0..200).map(|seed| run(seed, trouble)).collect();
+    let stops: u32 = runs.iter().map(|t| t.stops).sum();
+    let switched: u32 = runs.iter().map(|t| t.switched).sum();
+    assert!(switched > 1_000, "only {switched} switches");
+    assert_eq!(stops, 0, "the group stood still in {switched} switches");
+}
+
+/// Guards against a recovery that disarms a switch which it has not blocked: a switch that began
+/// after the recovery has a higher version, and a late order to disarm would reach one rank after
+/// its pass was released.
+#[test]
+fn newer_switch_is_left() {
+    let state = |rank: u16, armed: bool, held: Option<u64>| RankState {
+        epoch: 1,
+        rank,
+        size: RANKS as u16,
+        open: true,
+        pace: 1.0,
+        step: 40,
+        prepared: Some(7),
+        armed: armed.then_some(Armed {
+            version: 7,
+            step: 45,
+        }),
+        held,
+        ..RankState::default()
+    };
+    let mut recovery = Recovery::new(Release {
+        held: 1,
+        step: 41,
+        epoch: 1,
+        version: 5,
+        map: Vec::new(),
+        missing: None,
+    });
+    let seen = [
+        Some(state(0, true, None)),
+        Some(state(1, false, Some(41))),
+        Some(state(2, true, Some(45))),
+        Some(state(3, true, None)),
+    ];
+    let round = recovery.advance(&seen);
+    assert_eq!(round.ended, Some(Ended::Blocked), "{round:?}");
+}
