Ask more gain of a switch and of a copied GB, and less of a small expert

Change: LEAST_GAIN is the mean over the sets, 0.15; GAIN_PER_GB 0.1; LEAST_COPY 0.01. noise_is_not_followed fails with a least gain of 0.0375: 55 switches for 10 shifts.

--- a/crates/placement/src/even.rs
+++ b/crates/placement/src/even.rs
@@ -19,6 +19,9 @@
 
 /// Highest load over the mean load of a set that could not be more even.
 const EVEN: f64 = 1.0;
+/// Least gain of a switch, as the mean over the sets of the highest load over the mean load. Plans
+/// that gain less follow the noise of the demand: they double the switches and even nothing out.
+pub const LEAST_GAIN: f64 = 0.15;
 /// Least pace that counts, so that a malformed one divides nothing by zero.
 const LEAST_PACE: f64 = 0.1;
 
@@ -143,6 +146,14 @@
     }
 }
 
+/// The means over the sets of the highest load over the mean load, before and after the plans.
+pub fn find_means(plans: &[Plan]) -> (f64, f64) {
+    let sets = plans.len().max(1) as f64;
+    let before: f64 = plans.iter().map(|plan| plan.before).sum();
+    let after: f64 = plans.iter().map(|plan| plan.after).sum();
+    (before / sets, after / sets)
+}
+
 impl<'demand> Draft<'demand> {
     fn new(demand: &'demand [f64], paces: &'demand [f64], map: &'demand SetMap) -> Self {
         let mut holders = vec![Vec::new(); demand.len()];
--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -16,7 +16,10 @@
 use siskinbend_groups::orders::Switch;
 use siskinbend_groups::orders::draw_version;
 use siskinbend_groups::orders::find_hold;
+use siskinbend_placement::even::LEAST_GAIN;
+use siskinbend_placement::even::Plan;
 use siskinbend_placement::even::Settings;
+use siskinbend_placement::even::find_means;
 use siskinbend_placement::even::plan_set;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
@@ -47,15 +50,13 @@
 const ORPHAN_TIME: Duration = Duration::from_millis(300);
 /// Longest time that a switch or recovery is driven before the group is looked at anew.
 const DRIVE_TIME: Duration = Duration::from_secs(12);
-/// Least expected gain of a switch: the sum over the sets of highest load over mean load.
-const LEAST_GAIN: f64 = 0.3;
 /// Gain in one set that copying a GB must bring.
-const GAIN_PER_GB: f64 = 0.064;
+const GAIN_PER_GB: f64 = 0.1;
 /// MB in a GB.
 const MB_PER_GB: f64 = 1_000.0;
 /// Least and most gain that is asked of one copy. Each copy also makes the switch later, whatever
 /// its size.
-const LEAST_COPY: f64 = 0.03;
+const LEAST_COPY: f64 = 0.01;
 const MOST_COPY: f64 = 0.1;
 
 /// Stands for the address of a rank that was not heard.
@@ -206,22 +207,21 @@
         return;
     };
     let paces: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
-    let (mut map, mut before, mut after, mut copies) = (Vec::new(), 0.0, 0.0, 0);
-    for (set, present) in group.map.iter().enumerate() {
-        let plan = plan_set(
-            &demand[set * experts..][..experts],
-            &paces,
-            present,
-            &settings,
-        );
-        before += plan.before;
-        after += plan.after;
-        copies += plan.copies;
-        map.push(plan.map);
-    }
+    let plans: Vec<Plan> = group
+        .map
+        .iter()
+        .enumerate()
+        .map(|(set, present)| {
+            let demand = &demand[set * experts..][..experts];
+            plan_set(demand, &paces, present, &settings)
+        })
+        .collect();
+    let (before, after) = find_means(&plans);
     if before - after < LEAST_GAIN {
         return;
     }
+    let copies: usize = plans.iter().map(|plan| plan.copies).sum();
+    let map: Vec<Placement> = plans.into_iter().map(|plan| plan.map).collect();
     let seen = read_fresh(agent, &group.ranks).await;
     let own = group.ranks.iter().position(|r| *r == agent.own);
     let (Some(own), Some(floor)) = (own, find_floor(agent, group, &seen)) else {
@@ -236,11 +236,10 @@
         floor,
     };
     let version = goal.version;
-    let mean = |skew: f64| format!("{:.2}", skew / sets as f64);
     log::info!(
         version,
-        skew_before = mean(before),
-        skew_after = mean(after),
+        skew_before = format!("{before:.2}"),
+        skew_after = format!("{after:.2}"),
         copies,
         step = group.states[own].step;
         "switch_started"
--- a/tests/integration/even_placement.rs
+++ b/tests/integration/even_placement.rs
@@ -3,8 +3,11 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use siskinbend_placement::even::LEAST_GAIN;
+use siskinbend_placement::even::Plan;
 use siskinbend_placement::even::SetMap;
 use siskinbend_placement::even::Settings;
+use siskinbend_placement::even::find_means;
 use siskinbend_placement::even::find_skew;
 use siskinbend_placement::even::plan_set;
 
@@ -75,6 +78,43 @@
     );
 }
 
+/// Guards against switches that follow the noise of the demand: it shifts every 20 plans, and in
+/// between every plan sees it with a tenth of noise. Without a least gain nearly every plan would
+/// be a switch.
+#[test]
+fn noise_is_not_followed() {
+    let mut rng = ChaCha8Rng::seed_from_u64(19);
+    let settings = Settings::default();
+    let paces = vec![1.0; RANKS];
+    let mut maps = [deal(), deal(), deal(), deal()];
+    let (mut switches, mut skew) = (0, 0.0);
+    for _ in 0..10 {
+        let demands: Vec<Vec<f64>> = maps.iter().map(|_| draw_demand(&mut rng)).collect();
+        for _ in 0..20 {
+            let mut noise = |demand: &f64| demand * rng.random_range(0.9..1.1);
+            let seen: Vec<Vec<f64>> = demands
+                .iter()
+                .map(|demand| demand.iter().map(&mut noise).collect())
+                .collect();
+            let plans: Vec<Plan> = seen
+                .iter()
+                .zip(&maps)
+                .map(|(demand, map)| plan_set(demand, &paces, map, &settings))
+                .collect();
+            let (before, after) = find_means(&plans);
+            skew += before / 200.0;
+            if before - after >= LEAST_GAIN {
+                switches += 1;
+                for (map, plan) in maps.iter_mut().zip(plans) {
+                    *map = plan.map;
+                }
+            }
+        }
+    }
+    assert!(switches <= 20, "{switches} switches for 10 shifts");
+    assert!(skew < 1.4, "highest load over mean load: {skew}");
+}
+
 /// Guards against copies that are bought for nothing.
 #[test]
 fn steady_demand_costs_nothing() {
