Hold a later pass when orders of a switch go unanswered

Arming twelve ranks then takes three rounds of 80 ms, more than the three passes ahead of the held one; seven switches in four seconds stopped the group, and each stop made every running stream late by one pause. Change: a switch with an unanswered order holds the pass MOST_LEAD ahead. unanswered_orders_get_time fails without it.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -146,6 +146,8 @@
     ready: Vec<bool>,
     /// Ranks that are armed.
     armed: Vec<bool>,
+    /// Whether an order of this switch got no answer.
+    unanswered: bool,
 }
 
 impl Switch {
@@ -160,6 +162,7 @@
             asked: vec![None; size],
             ready: vec![false; size],
             armed: vec![false; size],
+            unanswered: false,
         }
     }
 
@@ -167,7 +170,10 @@
     /// rank that says that it is armed is.
     pub fn hear(&mut self, rank: usize, order: &Order, reply: OrderReply) {
         match (&order.task, reply) {
-            (_, OrderReply::Unknown) => self.asked[rank] = None,
+            (_, OrderReply::Unknown) => {
+                self.asked[rank] = None;
+                self.unanswered = true;
+            }
             (Task::Arm(_), OrderReply::Holds) => self.armed[rank] = true,
             _ => {}
         }
@@ -246,7 +252,12 @@
         if tries >= MOST_HOLDS || holder.held.is_some() {
             return Round::end(Ended::Abandoned);
         }
-        let step = (holder.step + LEAD_PASSES).max(self.goal.floor + 1);
+        // Orders that have to be repeated take longer, and a stopped pass makes every stream late.
+        let lead = match self.unanswered {
+            true => MOST_LEAD,
+            false => LEAD_PASSES,
+        };
+        let step = (holder.step + lead).max(self.goal.floor + 1);
         if step > holder.step + MOST_LEAD {
             // The pass is too far ahead while the group stands still.
             return Round::default();
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -15,6 +15,7 @@
 use siskinbend_groups::orders::find_hold;
 use siskinbend_site::engine::Armed;
 use siskinbend_site::engine::Order;
+use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::RankState;
 use siskinbend_site::engine::Task;
 use siskinbend_types::Time;
@@ -448,3 +449,45 @@
     let round = recovery.advance(&seen);
     assert_eq!(round.ended, Some(Ended::Blocked), "{round:?}");
 }
+
+/// Guards against a group that is stopped at every switch while some of its orders get no answer:
+/// the repeated ones used to arrive after the held pass was due.
+#[test]
+fn unanswered_orders_get_time() {
+    let lead = |reply: OrderReply| {
+        let goal = Goal {
+            own: 0,
+            epoch: 1,
+            version: 7,
+            map: Vec::new(),
+            floor: 0,
+        };
+        let mut switch = Switch::new(goal, RANKS, Time::default());
+        let state = |rank: usize, prepared: Option<u64>| RankState {
+            epoch: 1,
+            rank: rank as u16,
+            size: RANKS as u16,
+            open: true,
+            step: 40,
+            prepared,
+            ..RankState::default()
+        };
+        let read = |prepared| (0..RANKS).map(|rank| Some(state(rank, prepared))).collect();
+        let seen: Vec<Option<RankState>> = read(None);
+        for (rank, order) in switch.advance(&seen, Time::default()).orders {
+            switch.hear(
+                rank,
+                &order,
+                if rank == 2 { reply } else { OrderReply::Begun },
+            );
+        }
+        let seen: Vec<Option<RankState>> = read(Some(7));
+        let round = switch.advance(&seen, Time::from_millis(50));
+        match round.orders[0].1.task {
+            Task::Hold { step } => step - 40,
+            _ => panic!("no hold: {round:?}"),
+        }
+    };
+    assert!(lead(OrderReply::Begun) <= 3, "a calm switch waits");
+    assert_eq!(lead(OrderReply::Unknown), MOST_LEAD);
+}
