Serve what a gateway believes as metrics, and let commands write to a closed pipe

Cause: a gateway showed no histogram of first events or pauses and none of its beliefs, one of its metrics measured something else than its name says, and no test compared the page with what is served. println! panics when the reader of a command has closed the pipe. Change: gateway::metrics with times and beliefs, read when the page is asked for; metrics_are_documented compares the table of docs/OPERATIONS.md with the page; command::out ignores a closed pipe, closed_pipe_is_no_failure fails with println!.

--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -151,6 +151,11 @@
         self.paused += u32::from(late);
     }
 
+    /// Requests under way.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
     /// The most requests that may be under way, if there is a limit.
     pub fn most(&self) -> Option<u32> {
         self.most.map(|most| most as u32)
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -53,6 +53,17 @@
     pub requests: usize,
 }
 
+/// Where a gateway listens.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayPorts {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// Port of the metrics, 0 for any.
+    pub metrics: u16,
+}
+
 /// The running stand-ins.
 pub struct Site {
     /// The store.
@@ -116,26 +127,32 @@
         })
     }
 
-    /// Settings of a gateway with its addresses for callers and for readiness checks.
-    pub fn gateway_settings(&self, n: usize, callers: SocketAddr, ready: SocketAddr) -> String {
-        let mut text = self.common_settings(&format!("edge-{n}"), callers.ip());
+    /// Settings of a gateway.
+    pub fn gateway_settings(&self, n: usize, ports: &GatewayPorts) -> String {
+        let GatewayPorts {
+            callers,
+            ready,
+            metrics,
+        } = ports;
+        let node = format!("edge-{n}");
+        let mut text = self.common_settings(&node, callers.ip(), *metrics);
         let _ = write!(text, "listen.front={callers}\nlisten.ready={ready}\n");
         text
     }
 
     /// Settings of the agent beside a rank.
     pub fn rank_settings(&self, rank: usize) -> String {
-        let mut text = self.common_settings(&format!("side-{rank}"), vm(rank));
+        let mut text = self.common_settings(&format!("side-{rank}"), vm(rank), 0);
         let app = self.store.find_address(&self.drafts[rank].id);
         let _ = write!(text, "app={app}\nservice=drafts\n");
         text
     }
 
-    fn common_settings(&self, node: &str, ip: IpAddr) -> String {
+    fn common_settings(&self, node: &str, ip: IpAddr, last: u16) -> String {
         format!(
             "node={node}\nip={ip}\nzone=a\nportRange={},{}\nplatform.address={}\n\
              bounds.revokeMs=5000\nbounds.graceS=8\nbounds.retryRatio=0.2\nbounds.retrySlack=40\n",
-            self.peers, 0, self.address
+            self.peers, last, self.address
         )
     }
 }
@@ -179,7 +196,12 @@
         let callers: SocketAddr = (ip, ports[0]).into();
         let ready: SocketAddr = (ip, ports[1]).into();
         let file = options.folder.join(format!("gateway-{n}.conf"));
-        std::fs::write(file, site.gateway_settings(n, callers, ready))?;
+        let ports = GatewayPorts {
+            callers,
+            ready,
+            metrics: 0,
+        };
+        std::fs::write(file, site.gateway_settings(n, &ports))?;
         gateways.push((callers, ready));
     }
     for rank in 0..options.ranks {
--- a/src/command/document.rs
+++ b/src/command/document.rs
@@ -33,6 +33,8 @@
 
 use super::offer;
 use super::offer::OfferFlags;
+use crate::command::out;
+use crate::command::out::say;
 use crate::platform;
 
 /// Exit status of a change that was refused.
@@ -234,7 +236,7 @@
 fn check(file: &PathBuf) -> Result<u8, CommandError> {
     let text = read_file(file)?;
     Document::parse(&text).map_err(|findings| CommandError::Findings(file.clone(), findings))?;
-    println!(
+    say!(
         "{} is well-formed, digest {}",
         file.display(),
         Document::digest(&text)
@@ -309,18 +311,19 @@
     let name = environment.as_str();
     match ending {
         Ending::Accepted(stamp) => {
-            println!(
+            say!(
                 "accepted environment={name} version={} digest={}",
-                stamp.version, stamp.digest
+                stamp.version,
+                stamp.digest
             );
             match read_content(store, stamp).await {
                 Ok(text) => offer::offer(&write.offer, Content { stamp, text }).await,
-                Err(error) => println!("no agent was told: {error}"),
+                Err(error) => say!("no agent was told: {error}"),
             }
             Ok(0)
         }
         Ending::Refused(refusal) => {
-            println!("refused environment={name}: {}", explain(&refusal));
+            say!("refused environment={name}: {}", explain(&refusal));
             if let Refusal::Superseded(Some(entry)) | Refusal::TrialChanged(Some(entry)) = &refusal
             {
                 print_difference(store, write, environment, entry).await;
@@ -328,12 +331,12 @@
             Ok(REFUSED)
         }
         Ending::NotApplied(cause) => {
-            println!("not applied environment={name}: {cause}");
+            say!("not applied environment={name}: {cause}");
             Ok(REFUSED)
         }
         Ending::NotKnown(stamp) => {
             let version = stamp.version;
-            println!(
+            say!(
                 "not known yet environment={name} version={version} digest={}; to find out, run: \
                  siskinbend document resolve --environment {name} --version {version} \
                  --transaction {id}",
@@ -379,7 +382,7 @@
         version => read_version(store, environment, Version(version)).await,
     };
     if let (Ok(old), Ok(new)) = (old, read_content(store, winner.stamp).await) {
-        print!("{}", diff_texts(&old, &new));
+        out::write(format_args!("{}", diff_texts(&old, &new)));
     }
 }
 
@@ -418,7 +421,7 @@
             NOT_KNOWN,
         ),
     };
-    println!("{answer}");
+    say!("{answer}");
     Ok(status)
 }
 
@@ -437,7 +440,7 @@
             read_content(&store, entry.stamp).await?
         }
     };
-    print!("{text}");
+    out::write(format_args!("{text}"));
     Ok(0)
 }
 
@@ -447,9 +450,10 @@
     let entries = documents::list_history(store.as_ref(), environment, HISTORY_ROWS).await;
     for entry in entries.map_err(CommandError::Store)? {
         let Stamp { version, digest } = entry.stamp;
-        println!(
+        say!(
             "version={version} digest={digest} who={} when={}",
-            entry.who, entry.when
+            entry.who,
+            entry.when
         );
     }
     Ok(0)
@@ -464,6 +468,6 @@
         Err(CommandError::Absent(_)) => Arc::from(""),
         Err(error) => return Err(error),
     };
-    print!("{}", diff_texts(&old, &new));
+    out::write(format_args!("{}", diff_texts(&old, &new)));
     Ok(0)
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -33,6 +33,7 @@
 use siskinbend_types::Zone;
 
 use super::Gateway;
+use super::metrics::Belief;
 use crate::peer::RankLoad;
 
 /// Retries that one gateway may save up. All gateways together must stay within the slack that
@@ -368,6 +369,24 @@
         }
     }
 
+    /// What is believed of each service.
+    pub fn list_beliefs(&self, now: Time) -> Vec<Belief> {
+        let describe = |(service, pick): (&ServiceName, &Pick)| {
+            let own = |p: &&Peer| &p.server.service == service;
+            let peers = || self.peers.values().filter(own);
+            let ages = peers().map(|p| now.since(p.reported).as_secs_f64());
+            Belief {
+                service: service.clone(),
+                servers: peers().count(),
+                running: pick.limit.running(),
+                limit: pick.limit.most(),
+                report_age: ages.fold(0.0, f64::max),
+                open: pick.closed.is_none_or(|seen| now.since(seen) > CLOSED_TIME),
+            }
+        };
+        self.services.iter().map(describe).collect()
+    }
+
     /// The retry budget of a service.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         &mut self.service(service).budget
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod fleet;
 mod loads;
+mod metrics;
 mod plain;
 mod serve;
 mod server;
@@ -28,12 +29,12 @@
 use siskinbend_types::Time;
 
 use crate::clock::BootClock;
-use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::platform;
 use crate::shutdown::Shutdown;
 
 use fleet::Fleet;
+use metrics::Metrics;
 
 /// Interval of the checks that nothing else triggers.
 const TICK: Duration = Duration::from_millis(250);
@@ -90,6 +91,22 @@
         self.view().config().cloned()
     }
 
+    /// The metrics with what the gateway believes now.
+    fn show_metrics(&self) -> Result<String, std::fmt::Error> {
+        let now = self.now();
+        let (version, age) = {
+            let view = self.view();
+            let version = view.config().map_or(0, |c| c.version.0);
+            let age = view
+                .config_age(now)
+                .map_or(f64::INFINITY, |a| a.as_secs_f64());
+            (version, age)
+        };
+        let beliefs = self.fleet().list_beliefs(now);
+        self.metrics.set_beliefs(version, age, &beliefs);
+        self.metrics.encode()
+    }
+
     fn is_ready(&self) -> bool {
         !self.shutdown.is_draining() && self.view().is_complete()
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -156,12 +156,9 @@
     address: SocketAddr,
 ) -> Result<(), StartError> {
     let gateway = Arc::clone(gateway);
-    serve_pages("metrics", address, move || {
-        let mut text = String::new();
-        match prometheus_client::encoding::text::encode(&mut text, &gateway.metrics.registry) {
-            Ok(()) => (StatusCode::OK, text),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        }
+    serve_pages("metrics", address, move || match gateway.show_metrics() {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     })
     .await
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -211,6 +211,7 @@
             None => {
                 let goal = route.goal.mul_f64(JUDGED_PART).as_secs_f64();
                 let took = now.since(self.call.received).as_secs_f64();
+                self.gateway.metrics.first.observe(took);
                 let took = took / goal.max(f64::MIN_POSITIVE);
                 if let Some(seen) = limit.judge(took, self.call.received, now) {
                     log::info!(
@@ -225,7 +226,9 @@
                 }
             }
             Some(passed) => {
-                let late = route.pause.is_some_and(|pause| now.since(passed) > pause);
+                let took = now.since(passed);
+                self.gateway.metrics.pause.observe(took.as_secs_f64());
+                let late = route.pause.is_some_and(|pause| took > pause);
                 limit.judge_pause(late);
             }
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -130,7 +130,6 @@
 fn take_config(gateway: &Arc<Gateway>, content: Option<Config>, asked: Time, now: Time) {
     let newer = gateway.view().hear_config(content, asked);
     if let Some(config) = newer {
-        gateway.metrics.version.set(config.version.0 as i64);
         log::info!(
             version:% = config.version,
             routes = config.routes.values().map(Vec::len).sum::<usize>(),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -9,6 +9,7 @@
 use crate::agent;
 use crate::command::document;
 use crate::command::explain;
+use crate::command::out::say;
 use crate::command::status;
 use crate::entry;
 use crate::gateway;
@@ -84,7 +85,7 @@
 fn check_settings(flags: &PlatformFlags) -> ExitCode {
     match platform::load(&flags.settings) {
         Ok(settings) => {
-            println!("{settings:#?}");
+            say!("{settings:#?}");
             ExitCode::SUCCESS
         }
         Err(findings) => report(&findings),
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -1,5 +1,6 @@
 //! The real gateway and rank agents, as processes, against the stand-in of the users' platform.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
@@ -12,6 +13,7 @@
 
 use http::StatusCode;
 use siskinbend_standins::server::free_ports;
+use siskinbend_standins::site::GatewayPorts;
 use siskinbend_standins::site::HOST;
 use siskinbend_standins::site::KEY;
 use siskinbend_standins::site::MOST_BODY;
@@ -83,15 +85,22 @@
     gateway: Process,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl World {
     async fn start() -> World {
         let site = Site::start(RANKS).await.expect("the stand-ins start");
-        let ports = free_ports(2).expect("two ports");
+        let ports = free_ports(3).expect("three ports");
         let callers: SocketAddr = ([127, 0, 2, 1], ports[0]).into();
         let ready: SocketAddr = ([127, 0, 2, 1], ports[1]).into();
-        let gateway = Process::start("gateway", &site.gateway_settings(1, callers, ready));
+        let metrics: SocketAddr = ([127, 0, 2, 1], ports[2]).into();
+        let ports = GatewayPorts {
+            callers,
+            ready,
+            metrics: metrics.port(),
+        };
+        let gateway = Process::start("gateway", &site.gateway_settings(1, &ports));
         wait_ready(ready, READY_TIME)
             .await
             .expect("the gateway is ready");
@@ -100,6 +109,7 @@
             gateway,
             callers,
             ready,
+            metrics,
         }
     }
 
@@ -347,6 +357,60 @@
     );
 }
 
+/// Names in the first column of the table of metrics in docs/OPERATIONS.md.
+fn list_documented() -> BTreeSet<String> {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    let table = page.split("## Metrics").nth(1).expect("the section");
+    let names = table
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `siskinbend_"));
+    let name = |rest: &str| rest.split(['`', '{']).next().map(str::to_owned);
+    names.filter_map(name).collect()
+}
+
+/// Guards against metrics that no page explains, pages about metrics that are not served, and
+/// beliefs that don't follow.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_are_documented() {
+    let world = World::start().await;
+    world.call("/draft/x/", "m1").await;
+    for replica in &world.site.drafts {
+        replica.cut_after.store(3, Ordering::Relaxed);
+    }
+    // It is tried again at least once.
+    world.call("/draft/x/", "m2").await;
+    for replica in &world.site.desks {
+        replica.full.store(true, Ordering::Relaxed);
+    }
+    world.call("/book/x/", "m3").await;
+    let page = Caller::default().call(world.metrics, "/metrics", "m").await;
+    let text = page.body.expect("a page");
+    let types = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE siskinbend_"));
+    let served: BTreeSet<String> = types
+        .map(|line| {
+            let (name, kind) = line.split_once(' ').expect("a name and a type");
+            let suffix = if kind == "counter" { "_total" } else { "" };
+            format!("{name}{suffix}")
+        })
+        .collect();
+    assert_eq!(served, list_documented(), "{text}");
+    for line in [
+        "siskinbend_first_event_seconds_count 2",
+        "siskinbend_retries_total{reason=\"link_lost\"} 1",
+        "siskinbend_config_version 1",
+        "siskinbend_streams{service=\"drafts\"} 0",
+        "siskinbend_group_open{service=\"drafts\"} 1",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in {text}");
+    }
+    assert!(
+        text.contains("siskinbend_refusals_total{reason=\"queue_full\"}"),
+        "{text}"
+    );
+}
+
 /// Guards against a SIGHUP that ends the process, and a SIGTERM that cuts a request off.
 #[tokio::test(flavor = "multi_thread")]
 async fn signals_cut_nothing() {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod call_util;
 mod choice;
 mod claims;
+mod closed_output;
 mod direct_attempts;
 mod document;
 mod ejection;
