Test that keys can be replaced without cutting a request

Cause: the rotation of docs/operators.md was tried by hand only. Change: rotation_cuts_nothing replaces the authority and all certificates in the three documented steps, with a held booking and look-ups under way in each. Conclusion: no fault found.

--- /dev/null
+++ b/tests/integration/key_rotation.rs
@@ -0,0 +1,94 @@
+//! Change of the certificate authority and of all keys while requests run.
+
+use std::fs;
+use std::path::Path;
+
+use siskinbend_standins::keys;
+
+use crate::util::Backend;
+use crate::util::Process;
+use crate::util::Site;
+use crate::util::book;
+use crate::util::find_busy;
+use crate::util::judge;
+use crate::util::look_up;
+use crate::util::read_executions;
+use crate::util::send;
+use crate::util::spawn;
+use crate::util::wait_for;
+
+/// Lines about replaced keys in a process's log.
+fn count_replaced(process: &Process) -> usize {
+    process.read_log().matches("keys_replaced").count()
+}
+
+/// Waits until all processes have replaced their keys once more, and checks that requests are
+/// served meanwhile.
+async fn wait_replaced(processes: &[&Process], entry: &Process, before: &[usize]) {
+    wait_for("the new keys", async || {
+        let answer = send(look_up(entry)).await;
+        assert!(answer.is_good(), "{:?}", judge(&answer));
+        let mut pairs = processes.iter().zip(before);
+        let all = pairs.all(|(process, count)| count_replaced(process) > *count);
+        all.then_some(())
+    })
+    .await;
+}
+
+fn write_authority(folder: &Path, text: &str) {
+    fs::write(folder.join("ca.pem"), text).expect("the folder is ours");
+}
+
+fn copy_pair(from: &Path, to: &Path) {
+    for file in ["peer.pem", "peer.key"] {
+        fs::copy(from.join(file), to.join(file)).expect("both folders are ours");
+    }
+}
+
+/// Guards against a rotation that cuts a request, and against one that leaves a process with keys
+/// that its peers no longer take: the authority and all certificates are replaced in the three
+/// steps that docs/operators.md gives, while a booking is held and others come in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rotation_cuts_nothing() {
+    let site = Site::start().await;
+    let backends = ["plain-1", "plain-2"].map(Backend::start_plain);
+    let agents = [0, 1].map(|n| site.start_agent(&format!("agent-{n}"), "desk", &backends[n]));
+    let known = [agents[0].listen, agents[1].listen];
+    let entry = site.start_entry("entry-1", &known);
+    entry.wait_usable(2).await;
+    let processes = [&agents[0], &agents[1], &entry];
+    let own = site.folder.join("keys");
+    let next = site.folder.join("next");
+    let options = keys::Options {
+        out: next.clone(),
+        name: vec!["peer".to_owned()],
+    };
+    keys::write(&options).expect("the folder is ours");
+
+    let old = fs::read_to_string(own.join("ca.pem")).expect("the old authority");
+    let new = fs::read_to_string(next.join("ca.pem")).expect("the new authority");
+    let steps: [&dyn Fn(); 3] = [
+        &|| write_authority(&own, &format!("{old}{new}")),
+        &|| copy_pair(&next, &own),
+        &|| write_authority(&own, &new),
+    ];
+    for (number, step) in steps.into_iter().enumerate() {
+        let reference = format!("r-{number}");
+        for backend in &backends {
+            backend.hold(true).await;
+        }
+        let booking = spawn(book(&entry, &reference, &reference));
+        let busy = find_busy(&[&backends[0], &backends[1]]).await;
+        backends[1 - busy].hold(false).await;
+        let before = processes.map(count_replaced);
+        step();
+        wait_replaced(&processes, &entry, &before).await;
+        backends[busy].hold(false).await;
+        let answer = booking.await.expect("the caller ends");
+        assert!(answer.is_good(), "step {number}: {:?}", judge(&answer));
+        assert_eq!(read_executions(&answer), 1);
+    }
+    let late = site.start_agent("agent-2", "desk", &backends[0]);
+    let entry = site.start_entry("entry-2", &[late.listen]);
+    entry.wait_usable(1).await;
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod group_shell;
 mod half_cut_link;
 mod history;
+mod key_rotation;
 mod lease;
 mod ledger;
 mod map_orders;
