--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -20,9 +20,13 @@
 use siskinbend_site::engine::Task;
 use siskinbend_types::Time;
 
-/// Passes between the present one and the one at whose beginning the ranks switch. The orders of a
-/// switch normally take less time than these passes, so that the hold stops nothing.
-const LEAD_PASSES: u64 = 3;
+/// Time that the orders of a switch normally take after the hold; the held pass begins later, so
+/// that the hold stops nothing.
+const ORDERS_TIME: Duration = Duration::from_millis(60);
+/// The same if orders go unanswered and have to be repeated.
+const REPEATS_TIME: Duration = Duration::from_millis(300);
+/// Fewest passes between the present one and the held one.
+const LEAST_LEAD: u64 = 2;
 /// Most passes between the present one and a held one. A later coordinator that keeps clear of
 /// this many passes never holds a pass that an earlier one may still release.
 pub const MOST_LEAD: u64 = 8;
@@ -148,6 +152,8 @@
     armed: Vec<bool>,
     /// Whether an order of this switch got no answer.
     unanswered: bool,
+    /// The pass at which the switch began.
+    first: Option<u64>,
 }
 
 impl Switch {
@@ -163,6 +169,7 @@
             ready: vec![false; size],
             armed: vec![false; size],
             unanswered: false,
+            first: None,
         }
     }
 
@@ -208,9 +215,12 @@
         if seen.iter().flatten().any(|s| s.epoch != epoch || !s.open) {
             return Round::end(Ended::Reopened);
         }
+        if let Some(holder) = &seen[self.holder] {
+            self.first.get_or_insert(holder.step);
+        }
         match self.phase {
             Phase::Preparing => self.prepare(seen, now),
-            Phase::Holding { step, tries } => self.hold(seen, step, tries),
+            Phase::Holding { step, tries } => self.hold(seen, step, tries, now),
             Phase::Arming { step } => self.arm(seen, step),
             Phase::Releasing { step } => self.release(seen, step),
         }
@@ -237,7 +247,7 @@
             }
         }
         if self.ready.iter().all(|ready| *ready) {
-            return self.choose_pass(seen, 0);
+            return self.choose_pass(seen, 0, now);
         }
         if now.since(self.begun) > PREPARE_TIME {
             return Round::end(Ended::Abandoned);
@@ -245,18 +255,27 @@
         round
     }
 
-    fn choose_pass(&mut self, seen: &[Option<RankState>], tries: u32) -> Round {
+    /// Passes between the present one and the held one, by the time that passes took lately.
+    fn find_lead(&self, step: u64, now: Time) -> u64 {
+        let passes = step.saturating_sub(self.first.unwrap_or(step));
+        let pass = now.since(self.begun).as_secs_f64() / passes.max(1) as f64;
+        let time = match self.unanswered {
+            true => REPEATS_TIME,
+            false => ORDERS_TIME,
+        };
+        // The present pass may end at once.
+        let lead = (time.as_secs_f64() / pass.max(f64::MIN_POSITIVE)).ceil() + 1.0;
+        (lead as u64).clamp(LEAST_LEAD, MOST_LEAD)
+    }
+
+    fn choose_pass(&mut self, seen: &[Option<RankState>], tries: u32, now: Time) -> Round {
         let Some(holder) = &seen[self.holder] else {
             return Round::default();
         };
         if tries >= MOST_HOLDS || holder.held.is_some() {
             return Round::end(Ended::Abandoned);
         }
-        // Orders that have to be repeated take longer, and a stopped pass makes every stream late.
-        let lead = match self.unanswered {
-            true => MOST_LEAD,
-            false => LEAD_PASSES,
-        };
+        let lead = self.find_lead(holder.step, now);
         let step = (holder.step + lead).max(self.goal.floor + 1);
         if step > holder.step + MOST_LEAD {
             // The pass is too far ahead while the group stands still.
@@ -266,7 +285,7 @@
         Round::one(self.holder, Task::Hold { step }, self.goal.epoch)
     }
 
-    fn hold(&mut self, seen: &[Option<RankState>], step: u64, tries: u32) -> Round {
+    fn hold(&mut self, seen: &[Option<RankState>], step: u64, tries: u32, now: Time) -> Round {
         let Some(holder) = &seen[self.holder] else {
             return Round::default();
         };
@@ -275,7 +294,7 @@
             return self.arm(seen, step);
         }
         if holder.step >= step {
-            return self.choose_pass(seen, tries + 1);
+            return self.choose_pass(seen, tries + 1, now);
         }
         Round::one(self.holder, Task::Hold { step }, self.goal.epoch)
     }
