--- a/src/rank_agent/steer.rs
+++ b/src/rank_agent/steer.rs
@@ -56,7 +56,7 @@
 const MB_PER_GB: f64 = 1_000.0;
 /// Least and most gain that is asked of one copy. Each copy also makes the switch later, whatever
 /// its size.
-const LEAST_COPY: f64 = 0.01;
+const LEAST_COPY: f64 = 0.03;
 const MOST_COPY: f64 = 0.1;
 
 /// Stands for the address of a rank that was not heard.
