--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -45,30 +45,30 @@
 /// uses a version twice.
 const RANDOM_BITS: u32 = 18;
 
-/// A version higher than all that the ranks have had, used by no other switch. `giver` is the rank
-/// of the coordinator.
-pub fn draw_version(states: &[RankState], giver: usize, random: u64) -> u64 {
+/// A version higher than all that the ranks have had, used by no other switch. `coordinator` is the rank
+/// that draws it.
+pub fn draw_version(states: &[RankState], coordinator: usize, random: u64) -> u64 {
     let versions = states.iter().flat_map(|s| {
         let armed = s.armed.map_or(0, |a| a.version);
         [s.map, s.prepared.unwrap_or(0), armed]
     });
     let highest = versions.max().unwrap_or(0) >> (RANK_BITS + RANDOM_BITS);
     let random = random & ((1 << RANDOM_BITS) - 1);
-    let giver = giver as u64 & ((1 << RANK_BITS) - 1);
-    ((highest + 1) << RANDOM_BITS | random) << RANK_BITS | giver
+    let coordinator = coordinator as u64 & ((1 << RANK_BITS) - 1);
+    ((highest + 1) << RANDOM_BITS | random) << RANK_BITS | coordinator
 }
 
 /// The rank of the coordinator that drew a version, in a group of `size` ranks; `None` if it can't
 /// be told.
-fn find_giver(version: u64, size: usize) -> Option<usize> {
-    let giver = (version & ((1 << RANK_BITS) - 1)) as usize;
-    (size <= 1 << RANK_BITS).then_some(giver)
+fn find_coordinator(version: u64, size: usize) -> Option<usize> {
+    let coordinator = (version & ((1 << RANK_BITS) - 1)) as usize;
+    (size <= 1 << RANK_BITS).then_some(coordinator)
 }
 
 /// The rank at which a coordinator holds its passes. It is on another VM than the coordinator, so
 /// that the group need not wait for that VM, and no two coordinators have the same one.
-fn hold_rank(giver: usize, size: usize) -> usize {
-    (giver + 1) % size
+fn hold_rank(coordinator: usize, size: usize) -> usize {
+    (coordinator + 1) % size
 }
 
 /// How a switch or a recovery ended.
@@ -447,7 +447,7 @@
         let size = seen.len();
         let own_hold = hold_rank(missing, size) == self.goal.held;
         let own_switch = seen.iter().flatten().filter_map(|s| s.armed).all(|armed| {
-            armed.step >= self.goal.step && find_giver(armed.version, size) == Some(missing)
+            armed.step >= self.goal.step && find_coordinator(armed.version, size) == Some(missing)
         });
         let unarmed = seen.iter().flatten().any(|s| s.armed.is_none());
         seen[missing].is_none() && own_hold && own_switch && unarmed
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -399,7 +399,7 @@
 /// freeze while a pass is held, and its rank can't be asked. Only if all others are armed may its
 /// own be armed too, which has to be waited for.
 #[test]
-fn frozen_giver_stops_nothing() {
+fn frozen_leader_stops_nothing() {
     let trouble = Trouble {
         frozen: 0.01,
         cut: true,
