Serve short calls and count requests in one place each

Cause: the gateway's pages and the agents' messages had the same accept loop, and the metrics of gateways and of the other processes counted requests with the same code. Names and values of the metrics are unchanged. Conclusion: no behaviour changes but TCP_NODELAY on the connections of the pages.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -142,7 +142,7 @@
 }
 
 async fn refuse(agent: &Agent, key: Key, reason: Reason, mut sender: Sender) {
-    agent.metrics.count_refusal(reason);
+    agent.metrics.counts.add_refusal(reason);
     log::info!(request:% = key.0, attempt:% = key.1, reason:% = reason; "attempt_refused");
     // Without a connection nobody waits for the refusal.
     if sender
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -328,7 +328,7 @@
 
     async fn dispatch(&mut self, attempt: Attempt, target: Target) {
         if let Some(reason) = self.failed.take() {
-            self.entry.metrics.count_retry(reason);
+            self.entry.metrics.counts.add_retry(reason);
             log::info!(
                 request:% = self.spec.id, attempt:% = attempt, agent:% = target.agent,
                 reason:% = reason;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -71,7 +71,7 @@
             waiting.await.unwrap_or_else(|_| lost())
         }
         Err(reason) => {
-            entry.metrics.count_refusal(reason);
+            entry.metrics.counts.add_refusal(reason);
             log::info!(request:% = id, reason:% = reason, outcome = "not_run"; "request_refused");
             problem::build(id, Outcome::NotRun, reason)
         }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -42,6 +42,7 @@
 async fn ask(gateway: &Arc<Gateway>, ranks: &[SocketAddr]) {
     for rank in ranks.iter().take(MOST_ASKED) {
         let told: Option<Vec<RankLoad>> = gateway.peers.call(*rank, LOADS_PATH, &()).await;
+        // An agent that doesn't lead knows only its own rank, if any.
         if let Some(loads) = told.filter(|loads| loads.len() > 1) {
             let now = gateway.now();
             gateway.fleet().hear_loads(&loads, now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,17 +3,14 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use siskinbend_types::Outcome;
-use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
 
-use crate::metrics::ReasonLabels;
-use crate::metrics::RequestLabels;
+use crate::metrics::RequestCounts;
+use crate::metrics::add;
 
 /// Upper bounds of the times that are counted, in seconds.
 const TIMES: [f64; 11] = [0.01, 0.03, 0.06, 0.12, 0.2, 0.4, 0.8, 1.5, 3.0, 8.0, 30.0];
@@ -46,9 +43,7 @@
 #[derive(Debug)]
 pub(super) struct Metrics {
     registry: Registry,
-    requests: Family<RequestLabels, Counter>,
-    refusals: Family<ReasonLabels, Counter>,
-    retries: Family<ReasonLabels, Counter>,
+    pub counts: RequestCounts,
     /// Time to the first event of a stream.
     pub first: Histogram,
     /// Time between two events of a stream.
@@ -66,92 +61,32 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let metrics = Metrics {
-            registry: Registry::with_prefix("siskinbend"),
-            requests: Family::default(),
-            refusals: Family::default(),
-            retries: Family::default(),
-            first: Histogram::new(TIMES),
-            pause: Histogram::new(TIMES),
-            whole: Histogram::new(TIMES),
-            config_version: Gauge::default(),
-            config_age: Seconds::default(),
-            servers: Family::default(),
-            running: Family::default(),
-            limit: Family::default(),
-            report_age: Family::default(),
-            open: Family::default(),
-        };
-        metrics.register()
+        let mut registry = Registry::with_prefix("siskinbend");
+        let all = &mut registry;
+        Metrics {
+            counts: RequestCounts::register(all),
+            first: add_times(all, "first_event_seconds", "Time to the first event"),
+            pause: add_times(all, "pause_seconds", "Time between two events"),
+            whole: add_times(all, "answer_seconds", "Time to the end of the answer"),
+            config_version: add(all, "config_version", "Version in force"),
+            config_age: add(all, "config_age_seconds", "Time since it was confirmed"),
+            servers: add(all, "servers", "Known backend servers"),
+            running: add(all, "streams", "Streams under way"),
+            limit: add(all, "streams_limit", "Most streams, 0 for no limit"),
+            report_age: add(all, "report_age_seconds", "Oldest load report"),
+            open: add(all, "group_open", "1 if the group runs passes"),
+            registry,
+        }
     }
 }
 
-impl Metrics {
-    fn register(mut self) -> Metrics {
-        let all = &mut self.registry;
-        all.register("requests", "Finished requests", self.requests.clone());
-        all.register("refusals", "Refused or cut requests", self.refusals.clone());
-        all.register("retries", "Attempts made again", self.retries.clone());
-        all.register(
-            "first_event_seconds",
-            "Time to the first event",
-            self.first.clone(),
-        );
-        all.register("pause_seconds", "Time between events", self.pause.clone());
-        all.register(
-            "answer_seconds",
-            "Time to the end of the answer",
-            self.whole.clone(),
-        );
-        all.register(
-            "config_version",
-            "Version in force",
-            self.config_version.clone(),
-        );
-        all.register(
-            "config_age_seconds",
-            "Time since it was confirmed",
-            self.config_age.clone(),
-        );
-        all.register("servers", "Known backend servers", self.servers.clone());
-        all.register("streams", "Streams under way", self.running.clone());
-        all.register(
-            "streams_limit",
-            "Most streams, 0 for no limit",
-            self.limit.clone(),
-        );
-        all.register(
-            "report_age_seconds",
-            "Oldest load report",
-            self.report_age.clone(),
-        );
-        all.register(
-            "group_open",
-            "1 if the group runs passes",
-            self.open.clone(),
-        );
-        self
-    }
-
-    /// Counts a finished request.
-    pub fn count_request(&self, service: &str, outcome: Outcome) {
-        let labels = RequestLabels {
-            service: service.to_owned(),
-            outcome: outcome.as_str(),
-        };
-        self.requests.get_or_create(&labels).inc();
-    }
-
-    /// Counts a request that was refused or cut.
-    pub fn count_refusal(&self, reason: Reason) {
-        self.refusals.get_or_create(&name(reason)).inc();
-    }
-
-    /// Counts an attempt that is made again.
-    pub fn count_retry(&self, reason: Reason) {
-        self.retries.get_or_create(&name(reason)).inc();
-    }
+fn add_times(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let times = Histogram::new(TIMES);
+    registry.register(name, help, times.clone());
+    times
+}
 
+impl Metrics {
     /// Takes over what the gateway believes now; `age` is the time in seconds since the
     /// configuration was confirmed.
     pub fn set_beliefs(&self, version: u64, age: f64, beliefs: &[Belief]) {
@@ -196,9 +131,3 @@
         Ok(text)
     }
 }
-
-fn name(reason: Reason) -> ReasonLabels {
-    ReasonLabels {
-        reason: reason.as_str(),
-    }
-}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -21,13 +21,14 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 use super::Gateway;
 use super::StartError;
 use super::answer::Body;
 use super::answer::whole;
 use super::serve::serve;
+use crate::listener;
+use crate::listener::ACCEPT_PAUSE;
 
 /// Time for which new connections are still taken after the process stopped being ready, so that
 /// the platform's balancer notices first.
@@ -35,8 +36,6 @@
 /// Idle time beyond the operators' limit after which a caller's connection is closed. A caller may
 /// use a connection up to the limit, and a close must not cross a request.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
-/// Pause after a connection could not be accepted, for example for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which a draining process looks for open connections.
 const DRAIN_TICK: Duration = Duration::from_millis(50);
 /// Least size of a connection's buffer in bytes that the library allows.
@@ -173,33 +172,12 @@
 {
     let listener = bind(name, address).await?;
     let page = Arc::new(page);
-    tokio::spawn(async move {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!(listener = name, error:% = error; "accept_failed");
-                    sleep_until(Instant::now() + ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            let page = Arc::clone(&page);
-            let service = service_fn(move |_: Request<Incoming>| {
-                let (status, text) = page();
-                let mut response: Response<Body> = Response::new(whole(text.into()));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            tokio::spawn(async move {
-                let served = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-                if let Err(error) = served {
-                    log::debug!(listener = name, error:% = error; "page_connection_ended");
-                }
-            });
-        }
+    let calls = service_fn(move |_: Request<Incoming>| {
+        let (status, text) = page();
+        let mut response: Response<Body> = Response::new(whole(text.into()));
+        *response.status_mut() = status;
+        async move { Ok::<_, Infallible>(response) }
     });
+    tokio::spawn(listener::serve(name, listener, calls));
     Ok(())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod keys;
 pub mod limits;
+mod listener;
 pub mod log_writer;
 pub mod logs;
 pub mod metrics;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Metric;
 use prometheus_client::registry::Registry;
 
 use siskinbend_types::Outcome;
@@ -30,6 +31,14 @@
     pub reason: &'static str,
 }
 
+impl ReasonLabels {
+    fn new(reason: Reason) -> ReasonLabels {
+        ReasonLabels {
+            reason: reason.as_str(),
+        }
+    }
+}
+
 /// Labels of a counter that is kept elsewhere and read when `/metrics` is shown.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct SourceLabels {
@@ -39,17 +48,56 @@
     pub event: &'static str,
 }
 
+/// Counters of what became of requests.
+#[derive(Debug)]
+pub struct RequestCounts {
+    /// Finished requests by service and outcome.
+    requests: Family<RequestLabels, Counter>,
+    /// Requests or attempts refused, by reason.
+    refusals: Family<ReasonLabels, Counter>,
+    /// Attempts tried again, by the reason of the failed one.
+    retries: Family<ReasonLabels, Counter>,
+}
+
+impl RequestCounts {
+    /// Counters that a registry shows.
+    pub fn register(registry: &mut Registry) -> RequestCounts {
+        RequestCounts {
+            requests: add(registry, "requests", "Finished requests"),
+            refusals: add(registry, "refusals", "Refused requests or attempts"),
+            retries: add(registry, "retries", "Attempts that were tried again"),
+        }
+    }
+
+    /// Counts a finished request.
+    pub fn add_request(&self, service: &str, outcome: Outcome) {
+        let labels = RequestLabels {
+            service: service.to_owned(),
+            outcome: outcome.as_str(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a refused request or attempt.
+    pub fn add_refusal(&self, reason: Reason) {
+        self.refusals
+            .get_or_create(&ReasonLabels::new(reason))
+            .inc();
+    }
+
+    /// Counts an attempt that is tried again.
+    pub fn add_retry(&self, reason: Reason) {
+        self.retries.get_or_create(&ReasonLabels::new(reason)).inc();
+    }
+}
+
 /// Metrics of one process; a role uses those that apply to it.
 #[derive(Debug)]
 pub struct Metrics {
     /// Everything that `/metrics` shows.
     pub registry: Registry,
-    /// Finished requests by service and outcome.
-    pub requests: Family<RequestLabels, Counter>,
-    /// Requests or attempts refused, by reason.
-    pub refusals: Family<ReasonLabels, Counter>,
-    /// Attempts tried again, by the reason of the failed one.
-    pub retries: Family<ReasonLabels, Counter>,
+    /// What became of requests.
+    pub counts: RequestCounts,
     /// Faults, refusals and aborts in the agent's group, by reason.
     pub group_faults: Family<ReasonLabels, Counter>,
     /// Calls to the platform and faults of documents, by source and event.
@@ -65,53 +113,41 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("siskinbend");
-        let requests = Family::default();
-        let refusals = Family::default();
-        let retries = Family::default();
-        let group_faults = Family::default();
-        let sources = Family::default();
-        let inflight = Gauge::default();
-        let version = Gauge::default();
+        let all = &mut registry;
         let buckets = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.2, 5.0, 30.0];
         let latency = Histogram::new(buckets);
-        registry.register("requests", "Finished requests", requests.clone());
-        registry.register("refusals", "Refused requests or attempts", refusals.clone());
-        registry.register("retries", "Attempts that were tried again", retries.clone());
-        registry.register(
-            "group_faults",
-            "Faults, refusals and aborts in a group",
-            group_faults.clone(),
-        );
-        registry.register(
-            "sources",
-            "Calls to the platform and faults of documents",
-            sources.clone(),
-        );
-        registry.register("inflight", "Requests in flight", inflight.clone());
-        registry.register(
-            "first_byte_seconds",
-            "Time to the answer's head",
-            latency.clone(),
-        );
-        registry.register(
-            "document_version",
-            "Document version in force",
-            version.clone(),
-        );
+        let help = "Time to the answer's head";
+        all.register("first_byte_seconds", help, latency.clone());
         Self {
-            registry,
-            requests,
-            refusals,
-            retries,
-            sources,
-            group_faults,
-            inflight,
+            counts: RequestCounts::register(all),
+            group_faults: add(
+                all,
+                "group_faults",
+                "Faults, refusals and aborts in a group",
+            ),
+            sources: add(
+                all,
+                "sources",
+                "Calls to the platform and faults of documents",
+            ),
+            inflight: add(all, "inflight", "Requests in flight"),
+            version: add(all, "document_version", "Document version in force"),
             latency,
-            version,
+            registry,
         }
     }
 }
 
+/// A new metric that a registry shows.
+pub(crate) fn add<M>(registry: &mut Registry, name: &str, help: &str) -> M
+where
+    M: Metric + Clone + Default,
+{
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Metrics {
     /// Takes over counters that are kept elsewhere.
     pub fn set_counts(&self, counts: &[SourceCount]) {
@@ -124,31 +160,4 @@
             counter.inner().store(count.value, Ordering::Relaxed);
         }
     }
-
-    /// Counts a finished request.
-    pub fn count_request(&self, service: &str, outcome: Outcome) {
-        let labels = RequestLabels {
-            service: service.to_owned(),
-            outcome: outcome.as_str(),
-        };
-        self.requests.get_or_create(&labels).inc();
-    }
-
-    /// Counts a refused request or attempt.
-    pub fn count_refusal(&self, reason: Reason) {
-        self.refusals
-            .get_or_create(&ReasonLabels {
-                reason: reason.as_str(),
-            })
-            .inc();
-    }
-
-    /// Counts an attempt that is tried again.
-    pub fn count_retry(&self, reason: Reason) {
-        self.retries
-            .get_or_create(&ReasonLabels {
-                reason: reason.as_str(),
-            })
-            .inc();
-    }
 }
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -133,7 +133,6 @@
                     .collect();
                 agent.roster().set_members(ranks);
                 wait_registry(&agent).await;
-                continue;
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
--- a/src/rank_agent/serve.rs
+++ b/src/rank_agent/serve.rs
@@ -11,15 +11,13 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use serde::Serialize;
 use tokio::net::TcpListener;
 
 use super::Agent;
 use super::roster::Push;
+use crate::listener;
 use crate::peer::LOADS_PATH;
 use crate::peer::MOST_MESSAGE;
 use crate::peer::ORDER_PATH;
@@ -28,39 +26,12 @@
 use crate::peer::PassedReply;
 use crate::peer::STATE_PATH;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
-
 /// Starts to listen for other agents.
 pub(super) async fn start(agent: &Arc<Agent>) -> std::io::Result<()> {
     let listener = TcpListener::bind(agent.settings.peers).await?;
     let agent = Arc::clone(agent);
-    tokio::spawn(async move {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!(error:% = error; "accept_failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            if let Err(error) = stream.set_nodelay(true) {
-                log::debug!(error:% = error; "socket_options_refused");
-            }
-            let agent = Arc::clone(&agent);
-            let service = service_fn(move |request| answer(Arc::clone(&agent), request));
-            tokio::spawn(async move {
-                let served = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-                if let Err(error) = served {
-                    log::debug!(error:% = error; "agent_connection_ended");
-                }
-            });
-        }
-    });
+    let calls = service_fn(move |request| answer(Arc::clone(&agent), request));
+    tokio::spawn(listener::serve("agents", listener, calls));
     Ok(())
 }
 
--- a/tests/integration/recent_demand.rs
+++ b/tests/integration/recent_demand.rs
@@ -4,19 +4,21 @@
 use siskinbend_placement::recent::Recent;
 use siskinbend_types::Time;
 
+/// The demand `passed` milliseconds after it moved from the first expert to the second.
+fn shift(passed: u64) -> Vec<f64> {
+    let mut recent = Recent::default();
+    for ms in (0..5_000 + passed).step_by(100) {
+        let chosen = if ms < 5_000 { [1_000, 0] } else { [0, 1_000] };
+        recent.add(&chosen, Time::from_millis(ms));
+    }
+    let demand = recent.estimate(Time::from_millis(5_000 + passed));
+    demand.expect("enough counts").to_vec()
+}
+
 /// Guards against old demand that outweighs a shift: after two seconds it counts less than a tenth.
 #[test]
 fn shift_is_noticed() {
-    let mut recent = Recent::default();
-    for ms in (0..5_000).step_by(100) {
-        recent.add(&[1_000, 0], Time::from_millis(ms));
-    }
-    for ms in (5_000..7_000).step_by(100) {
-        recent.add(&[0, 1_000], Time::from_millis(ms));
-    }
-    let demand = recent
-        .estimate(Time::from_millis(7_000))
-        .expect("enough counts");
+    let demand = shift(2_000);
     assert!(demand[0] < demand[1] / 10.0, "{demand:?}");
 }
 
@@ -24,16 +26,7 @@
 /// counts six times as much as the old.
 #[test]
 fn shift_leads_soon() {
-    let mut recent = Recent::default();
-    for ms in (0..5_000).step_by(100) {
-        recent.add(&[1_000, 0], Time::from_millis(ms));
-    }
-    for ms in (5_000..5_500).step_by(100) {
-        recent.add(&[0, 1_000], Time::from_millis(ms));
-    }
-    let demand = recent
-        .estimate(Time::from_millis(5_500))
-        .expect("enough counts");
+    let demand = shift(500);
     assert!(demand[1] > demand[0] * 6.0, "{demand:?}");
 }
 
