--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -12,8 +12,8 @@
 use siskinbend_types::Time;
 
 use crate::Report;
-use crate::tenant::Tenant;
-use crate::tenant::Waiting;
+use crate::part::Part;
+use crate::part::Waiting;
 
 /// Weight of a new sample in the smoothed hold time and cost.
 const SMOOTHING: f64 = 0.05;
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 pub struct Queue<T> {
     settings: Settings,
-    tenants: Vec<Tenant<T>>,
+    parts: Vec<Part<T>>,
     running: u32,
     next: u64,
     /// Virtual time: the start tag of the request that was last taken.
@@ -120,7 +120,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            tenants: Vec::new(),
+            parts: Vec::new(),
             running: 0,
             next: 0,
             virtual_now: 0.0,
@@ -132,8 +132,8 @@
 
     /// Replaces the limits; requests that already wait stay.
     pub fn configure(&mut self, settings: Settings) {
-        for tenant in &mut self.tenants {
-            tenant.weight = weigh(&settings, &tenant.organisation);
+        for part in &mut self.parts {
+            part.weight = weigh(&settings, &part.organisation);
         }
         self.settings = settings;
     }
@@ -190,7 +190,7 @@
             cost,
             since: now,
         };
-        self.tenants[own].push(priority, waiting, virtual_now);
+        self.parts[own].push(priority, waiting, virtual_now);
         assert!(
             self.queued() <= self.settings.limit,
             "queue over its limit at place {place}"
@@ -211,19 +211,19 @@
             Duration::ZERO
         };
         let mut late = Vec::new();
-        for tenant in &mut self.tenants {
-            tenant.drop_late(now + margin, &mut late);
+        for part in &mut self.parts {
+            part.drop_late(now + margin, &mut late);
         }
         let Some(next) = self.find_next(now) else {
             return Taken { run: None, late };
         };
-        let virtual_now = self.virtual_now.max(self.tenants[next].start);
-        let Some((waiting, _)) = self.tenants[next].pop(now, self.settings.ageing) else {
+        let virtual_now = self.virtual_now.max(self.parts[next].start);
+        let Some((waiting, _)) = self.parts[next].pop(now, self.settings.ageing) else {
             return Taken { run: None, late };
         };
         self.virtual_now = virtual_now;
         let mean = self.hold;
-        self.tenants[next].charge(waiting.cost, mean, now);
+        self.parts[next].charge(waiting.cost, mean, now);
         if self.running == 0 {
             self.progress = now;
         }
@@ -234,7 +234,7 @@
             self.running,
             self.settings.slots
         );
-        let organisation = self.tenants[next].organisation.clone();
+        let organisation = self.parts[next].organisation.clone();
         let run = Run {
             item: waiting.item,
             organisation,
@@ -261,20 +261,20 @@
             smooth(self.hold, spent)
         };
         let found = self
-            .tenants
+            .parts
             .iter_mut()
             .find(|t| &t.organisation == organisation);
-        let tenant = found.expect("an organisation stays known while it has running requests");
+        let part = found.expect("an organisation stays known while it has running requests");
         assert!(
-            tenant.running > 0,
+            part.running > 0,
             "{organisation} finished a request but had none running"
         );
-        tenant.running -= 1;
-        tenant.seen = now;
-        tenant.hold = if tenant.hold == 0.0 {
+        part.running -= 1;
+        part.seen = now;
+        part.hold = if part.hold == 0.0 {
             spent
         } else {
-            smooth(tenant.hold, spent)
+            smooth(part.hold, spent)
         };
     }
 
@@ -285,17 +285,17 @@
 
     /// Takes a waiting request out, for example because it was cancelled.
     pub fn remove(&mut self, place: Place) -> Option<T> {
-        self.tenants.iter_mut().find_map(|t| t.remove(place.0))
+        self.parts.iter_mut().find_map(|t| t.remove(place.0))
     }
 
     /// Takes all waiting requests out, for example because the agent drains.
     pub fn clear(&mut self) -> Vec<T> {
-        self.tenants.iter_mut().flat_map(Tenant::clear).collect()
+        self.parts.iter_mut().flat_map(Part::clear).collect()
     }
 
     /// Number of requests that wait.
     pub fn queued(&self) -> usize {
-        self.tenants.iter().map(Tenant::queued).sum()
+        self.parts.iter().map(Part::queued).sum()
     }
 
     /// The load now.
@@ -315,18 +315,18 @@
 
     /// The position of an organisation, which becomes active; long inactive ones are forgotten.
     fn open(&mut self, organisation: Organisation, now: Time) -> usize {
-        self.tenants
+        self.parts
             .retain(|t| !t.is_idle() || now.since(t.seen) < ACTIVE_FOR);
         let found = self
-            .tenants
+            .parts
             .iter()
             .position(|t| t.organisation == organisation);
         let own = found.unwrap_or_else(|| {
             let weight = weigh(&self.settings, &organisation);
-            self.tenants.push(Tenant::new(organisation, weight));
-            self.tenants.len() - 1
+            self.parts.push(Part::new(organisation, weight));
+            self.parts.len() - 1
         });
-        self.tenants[own].seen = now;
+        self.parts[own].seen = now;
         own
     }
 
@@ -336,31 +336,27 @@
         if free == 0 {
             return None;
         }
-        let key = |tenant: &Tenant<T>| {
-            let class = tenant.first_class(now, self.settings.ageing)?;
+        let key = |part: &Part<T>| {
+            let class = part.first_class(now, self.settings.ageing)?;
             // An organisation below its share of the slots is owed service whatever its class.
-            let class = if self.is_above_share(tenant) {
-                class
-            } else {
-                0
-            };
+            let class = if self.is_above_share(part) { class } else { 0 };
             let penalty = f64::from(class) * HEAD_START * self.cost / self.total_weight();
-            Some(tenant.start.max(self.virtual_now) + penalty)
+            Some(part.start.max(self.virtual_now) + penalty)
         };
-        let may_run = |t: &Tenant<T>| free > self.settings.reserve || !self.is_above_share(t);
-        let ready = self.tenants.iter().enumerate().filter(|(_, t)| may_run(t));
+        let may_run = |t: &Part<T>| free > self.settings.reserve || !self.is_above_share(t);
+        let ready = self.parts.iter().enumerate().filter(|(_, t)| may_run(t));
         let keyed = ready.filter_map(|(at, t)| Some((key(t)?, at)));
         keyed.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, at)| at)
     }
 
     fn total_weight(&self) -> f64 {
-        self.tenants.iter().map(|t| t.weight).sum()
+        self.parts.iter().map(|t| t.weight).sum()
     }
 
     /// Tells whether an organisation runs far more than its share of the slots.
-    fn is_above_share(&self, tenant: &Tenant<T>) -> bool {
-        let share = f64::from(self.settings.slots) * tenant.weight / self.total_weight();
-        f64::from(tenant.running) >= share * GREEDY
+    fn is_above_share(&self, part: &Part<T>) -> bool {
+        let share = f64::from(self.settings.slots) * part.weight / self.total_weight();
+        f64::from(part.running) >= share * GREEDY
     }
 
     /// Tells whether an organisation holds more waiting requests than the free room times its
@@ -368,27 +364,27 @@
     /// organisation alone can use half of the queue.
     fn exceeds_share(&self, own: usize, queued: usize) -> bool {
         let room = self.settings.limit.saturating_sub(queued) as f64;
-        let mean = self.total_weight() / self.tenants.len() as f64;
-        let most = (room * self.tenants[own].weight / mean).max(1.0);
-        self.tenants[own].queued() as f64 >= most
+        let mean = self.total_weight() / self.parts.len() as f64;
+        let most = (room * self.parts[own].weight / mean).max(1.0);
+        self.parts[own].queued() as f64 >= most
     }
 
     /// How long a new request of an organisation would wait: its own queue at its share of the
     /// service, but not longer than everything that waits.
     fn estimate_wait(&self, own: usize, queued: usize) -> Duration {
-        let tenant = &self.tenants[own];
+        let part = &self.parts[own];
         let busy: f64 = self
-            .tenants
+            .parts
             .iter()
             .filter(|t| t.queued() > 0)
             .map(|t| t.weight)
             .sum();
-        let others = if tenant.queued() > 0 {
+        let others = if part.queued() > 0 {
             busy
         } else {
-            busy + tenant.weight
+            busy + part.weight
         };
-        let turns = (tenant.queued() + 1) as f64 * others / tenant.weight;
+        let turns = (part.queued() + 1) as f64 * others / part.weight;
         let ahead = turns.min(queued as f64 + 1.0);
         Duration::from_secs_f64(ahead * self.hold / f64::from(self.settings.slots.max(1)))
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,13 +7,13 @@
 pub mod limit;
 pub mod lively;
 pub mod pace;
+mod part;
 pub mod picker;
 pub mod policy;
 pub mod quota;
 pub mod replica;
 pub mod report;
 pub mod subset;
-mod tenant;
 
 pub use admission::Place;
 pub use admission::Queue;
--- a/crates/routing/src/tenant.rs
+++ b/crates/routing/src/part.rs
@@ -24,7 +24,7 @@
 
 /// Waiting and running requests of one organisation.
 #[derive(Debug)]
-pub(crate) struct Tenant<T> {
+pub(crate) struct Part<T> {
     pub organisation: Organisation,
     pub weight: f64,
     pub running: u32,
@@ -37,7 +37,7 @@
     classes: [VecDeque<Waiting<T>>; CLASSES],
 }
 
-impl<T> Tenant<T> {
+impl<T> Part<T> {
     pub(crate) fn new(organisation: Organisation, weight: f64) -> Self {
         Self {
             organisation,
