Keep the groups of a service apart in agents and gateways

Cause: an agent took every registered replica of its service for a member of its group.

Change: agents exchange in pairs which group each rank belongs to (groups::directory), and each group has its own leader. Ranks whose agents stay silent are read directly once. Gateways ask the agents for the same directory, poll the leader of each group, keep closed and slow apart by group, and refuse only when no group is open. An agent that leads because another one did not respond asks that one again before it gives orders.

Ruled out: the registry and the store hold no groups, and reading every rank from every agent would grow with the square of the ranks and is priced.

Tests: each_group_switches_maps fails on the code before (timed out without a switch), group_directory, group_choice.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -7,6 +7,7 @@
 //! group, the coordinator.
 
 pub mod coordinator;
+pub mod directory;
 pub mod engine;
 pub mod fence;
 mod leader;
@@ -15,7 +16,9 @@
 pub mod options;
 pub mod orders;
 pub mod rank;
+pub mod report;
 pub mod timing;
+pub mod view;
 
 pub use engine::EngineState;
 pub use engine::Record;
--- a/crates/placement/src/recent_demand.rs
+++ b/crates/placement/src/recent_demand.rs
@@ -85,6 +85,11 @@
         self.decayed_counts.len()
     }
 
+    /// Sum of the decayed counts.
+    pub fn sum_counts(&self) -> f64 {
+        self.decayed_counts.iter().sum()
+    }
+
     /// Whether no counts were added yet.
     pub fn is_empty(&self) -> bool {
         self.decayed_counts.is_empty()
@@ -93,7 +98,7 @@
     /// The decayed counts of each expert, set by set; `None` if their sum is below the minimum.
     pub fn estimate(&mut self, now: Time) -> Option<&[f64]> {
         self.decay(now);
-        let total: f64 = self.decayed_counts.iter().sum();
+        let total = self.sum_counts();
         (total >= self.settings.min_count).then_some(&self.decayed_counts)
     }
 
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -1,10 +1,12 @@
 //! Chooses a replica of one service for each attempt of one entry.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
 use siskinbend_types::AgentId;
+use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
@@ -69,12 +71,17 @@
     pub avoid: Vec<AgentId>,
     /// Features that the replica must have.
     pub features: Vec<Feature>,
+    /// Lock-step groups that can't run requests at present.
+    pub closed_groups: Vec<EngineGroup>,
 }
 
 impl Requirements {
     fn are_met_by(&self, replica: &Replica) -> bool {
         let has = |feature: &Feature| replica.features.contains(feature);
-        !self.avoid.contains(&replica.agent) && self.features.iter().all(has)
+        let is_closed = |group: &EngineGroup| self.closed_groups.contains(group);
+        !self.avoid.contains(&replica.agent)
+            && self.features.iter().all(has)
+            && !replica.group.as_ref().is_some_and(is_closed)
     }
 }
 
@@ -169,6 +176,13 @@
         }
     }
 
+    /// Sets the lock-step group of a known replica.
+    pub fn set_group(&mut self, agent: &AgentId, group: &EngineGroup) {
+        if let Some(replica) = self.replicas.get_mut(agent) {
+            replica.group = Some(group.clone());
+        }
+    }
+
     /// Sets the features of a known replica. A new incarnation has no features until this is called
     /// again, because a restarted engine has lost what was loaded.
     pub fn set_features(&mut self, agent: &AgentId, features: Vec<Feature>) {
@@ -321,13 +335,16 @@
 
     /// Whether a replica is so slow that its work delays its whole group.
     pub fn delays_group(&self, agent: &AgentId) -> bool {
-        self.replicas
-            .get(agent)
-            .is_some_and(|r| r.slowdown > NORMAL_SLOWDOWN && r.slowdown > self.find_max_slowdown())
+        self.replicas.get(agent).is_some_and(|r| {
+            r.slowdown > NORMAL_SLOWDOWN && r.slowdown > self.find_max_slowdown(r.group.as_ref())
+        })
     }
 
-    fn find_max_slowdown(&self) -> f64 {
-        let active = self.replicas.values().filter(|r| !r.draining);
+    /// Finds the largest slowdown at which a replica of a group receives work; replicas without a
+    /// group count as one.
+    fn find_max_slowdown(&self, group: Option<&EngineGroup>) -> f64 {
+        let is_active = |r: &&Replica| !r.draining && r.group.as_ref() == group;
+        let active = self.replicas.values().filter(is_active);
         let slowdowns: Vec<f64> = active.map(|r| r.slowdown).collect();
         slowdown::find_max_slowdown(&slowdowns)
     }
@@ -337,9 +354,15 @@
         if usable.iter().all(|r| r.slowdown <= NORMAL_SLOWDOWN) {
             return;
         }
-        let limit = self.find_max_slowdown();
-        if usable.iter().any(|r| r.slowdown <= limit) {
-            usable.retain(|r| r.slowdown <= limit);
+        let groups: BTreeSet<Option<&EngineGroup>> =
+            usable.iter().map(|r| r.group.as_ref()).collect();
+        let limits: BTreeMap<Option<&EngineGroup>, f64> = groups
+            .into_iter()
+            .map(|group| (group, self.find_max_slowdown(group)))
+            .collect();
+        let is_fast = |r: &&Replica| r.slowdown <= limits[&r.group.as_ref()];
+        if usable.iter().any(is_fast) {
+            usable.retain(is_fast);
         }
     }
 
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use siskinbend_types::AgentId;
+use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
@@ -54,6 +55,8 @@
     pub features: Vec<Feature>,
     /// Time that its work takes, as a multiple of the usual time.
     pub slowdown: f64,
+    /// Group that it runs every step with; `None` if it is in none or the group is unknown.
+    pub group: Option<EngineGroup>,
     /// Whether the agent drains.
     pub draining: bool,
     /// The newest load report.
@@ -130,6 +133,7 @@
             zone: observation.zone.clone(),
             features: Vec::new(),
             slowdown: 1.0,
+            group: None,
             draining: observation.draining,
             report: observation.report,
             last_message: now,
--- a/crates/site/src/engine.rs
+++ b/crates/site/src/engine.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use serde::Deserialize;
 use serde::Serialize;
-use smol_str::SmolStr;
+use siskinbend_types::EngineGroup;
 
 /// Expert ids by layer set and position: the experts of one rank for each set, or those of each
 /// rank for one set.
@@ -23,8 +23,8 @@
 /// State of one rank.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RankState {
-    /// Name of the engine group.
-    pub group: SmolStr,
+    /// Engine group of the rank.
+    pub group: EngineGroup,
     /// Increases each time the group opens.
     pub epoch: u64,
     /// Index of the rank in the group.
--- a/crates/standins/src/site/check.rs
+++ b/crates/standins/src/site/check.rs
@@ -208,14 +208,14 @@
     }
     let repeated = runs.values().filter(|count| **count > 1).count();
     let started = Instant::now();
-    while site.group.switch_counts().0 == 0 && started.elapsed() < SWITCH_TIMEOUT {
+    while site.groups[0].switch_counts().0 == 0 && started.elapsed() < SWITCH_TIMEOUT {
         tokio::time::sleep(Duration::from_millis(100)).await;
         Caller::default()
             .call(gateways[0], "/draft/a/", "more")
             .await;
     }
     wrong += provoke_failures(site, gateways[0]).await;
-    let (switches, mixed_steps) = site.group.switch_counts();
+    let (switches, mixed_steps) = site.groups[0].switch_counts();
     println!(
         "requests={requests} wrong={wrong} ran_twice={repeated} switches={switches} \
          mixed={mixed_steps}"
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -1,4 +1,4 @@
-//! Stand-in for the users' platform: its store, its replicas and a group of ranks in one process.
+//! Stand-in for the users' platform: its store, its replicas and their groups in one process.
 //!
 //! It follows the platform's published interface and therefore uses the platform's names.
 
@@ -72,25 +72,35 @@
     pub address: SocketAddr,
     /// Replicas of the plain service.
     pub plain_replicas: Vec<Arc<Replica>>,
-    /// Replicas of the model service; the index is the rank in the group.
+    /// Replicas of the model service; consecutive ones belong to different groups.
     pub model_replicas: Vec<Arc<Replica>>,
-    /// Group that the model replicas form.
-    pub group: Arc<Group>,
+    /// Groups that the model replicas form, all of the same size.
+    pub groups: Vec<Arc<Group>>,
     /// Port for traffic between agents; it is free on every loopback address in use.
     pub peer_port: u16,
 }
 
-/// Returns the loopback address that stands for the VM of a rank; processes of one VM share it.
-pub fn vm_address(rank: usize) -> IpAddr {
-    Ipv4Addr::new(127, 0, 1, 1 + rank as u8).into()
+/// Returns the loopback address that stands for the VM of a model replica; processes of one VM share
+/// it.
+pub fn vm_address(replica: usize) -> IpAddr {
+    Ipv4Addr::new(127, 0, 1, 1 + replica as u8).into()
 }
 
 impl Site {
-    /// Starts the store, two plain replicas and the ranks, and stores the configuration.
+    /// Starts the store, two plain replicas and one group of ranks, and stores the configuration.
     ///
     /// # Errors
     /// A port cannot be bound.
     pub async fn start(ranks: usize) -> Result<Site, BoxError> {
+        Site::start_groups(1, ranks).await
+    }
+
+    /// Starts the store, two plain replicas and several groups with `ranks` ranks each behind one
+    /// service, and stores the configuration.
+    ///
+    /// # Errors
+    /// A port cannot be bound.
+    pub async fn start_groups(groups: usize, ranks: usize) -> Result<Site, BoxError> {
         let store = Arc::new(Store::default());
         let address = server::spawn(Arc::clone(&store).build_router()).await?;
         let shape = GroupShape {
@@ -99,7 +109,9 @@
             experts: 12,
             placements: 12 / ranks + 2,
         };
-        let group = Arc::new(Group::new(shape));
+        let groups: Vec<Arc<Group>> = (0..groups)
+            .map(|n| Arc::new(Group::new(format!("g0-{n}"), shape)))
+            .collect();
         let (mut plain_replicas, mut model_replicas) = (Vec::new(), Vec::new());
         for n in 0..2 {
             let replica = Arc::new(Replica::new(format!("i-desk{n}"), None));
@@ -107,22 +119,25 @@
             store.register_replica(&replica.id, "desk", address);
             plain_replicas.push(replica);
         }
-        for rank in 0..ranks {
-            let membership = Some((Arc::clone(&group), rank));
-            let replica = Arc::new(Replica::new(format!("i-draft{rank}"), membership));
+        for n in 0..groups.len() * ranks {
+            // Groups alternate, so that the addresses of their ranks are mixed.
+            let membership = Some((Arc::clone(&groups[n % groups.len()]), n / groups.len()));
+            let replica = Arc::new(Replica::new(format!("i-draft{n}"), membership));
             let router = Arc::clone(&replica).build_router();
-            let address = server::spawn_at((vm_address(rank), 0).into(), router).await?;
+            let address = server::spawn_at((vm_address(n), 0).into(), router).await?;
             store.register_replica(&replica.id, "drafts", address);
             model_replicas.push(replica);
         }
         store.put_json("op", "config", &build_config(1, &shape));
-        tokio::spawn(Arc::clone(&group).run());
+        for group in &groups {
+            tokio::spawn(Arc::clone(group).run());
+        }
         Ok(Site {
             store,
             address,
             plain_replicas,
             model_replicas,
-            group,
+            groups,
             peer_port: server::free_ports(1)?[0],
         })
     }
@@ -140,10 +155,10 @@
         text
     }
 
-    /// Builds the settings file of the agent of a rank.
-    pub fn rank_settings(&self, rank: usize) -> String {
-        let mut text = self.common_settings(&format!("side-{rank}"), vm_address(rank), 0);
-        let app = self.store.find_address(&self.model_replicas[rank].id);
+    /// Builds the settings file of the agent of a model replica.
+    pub fn rank_settings(&self, replica: usize) -> String {
+        let mut text = self.common_settings(&format!("side-{replica}"), vm_address(replica), 0);
+        let app = self.store.find_address(&self.model_replicas[replica].id);
         let _ = write!(text, "app={app}\nservice=drafts\n");
         text
     }
--- a/crates/standins/src/site/ranks.rs
+++ b/crates/standins/src/site/ranks.rs
@@ -59,13 +59,14 @@
 /// Group of ranks with a common step counter.
 #[derive(Debug)]
 pub struct Group {
+    name: String,
     shape: GroupShape,
     state: Mutex<State>,
 }
 
 impl Group {
     /// Creates a group on map 0, which assigns the experts to the ranks in round-robin order.
-    pub fn new(shape: GroupShape) -> Group {
+    pub fn new(name: String, shape: GroupShape) -> Group {
         let rank = |rank: usize| Rank {
             experts: vec![
                 (rank..shape.experts)
@@ -78,6 +79,7 @@
             ..Rank::default()
         };
         Group {
+            name,
             shape,
             state: Mutex::new(State {
                 step: 0,
@@ -136,7 +138,7 @@
             .map(|(version, step)| json!({"version": version, "step": step}));
         json!({
             "stage": "prefill_decode", "busy": false, "sequence": 0, "queued": 0, "active": 1,
-            "group": {"name": "g", "epoch": 1, "rank": rank, "state": "open"},
+            "group": {"name": self.name, "epoch": 1, "rank": rank, "state": "open"},
             "size": self.shape.ranks, "pace": 1.0, "step": state.step, "map": rank_state.version,
             "prepared": rank_state.prepared.as_ref().map(|p| p.0),
             "armed": armed,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,7 @@
 pub use ids::Version;
 pub use ids::Window;
 pub use name::AgentId;
+pub use name::EngineGroup;
 pub use name::GroupName;
 pub use name::Organisation;
 pub use name::ServiceName;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -1,5 +1,6 @@
 //! Names that operators choose for the parts of a deployment.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::str::FromStr;
 
@@ -85,3 +86,28 @@
     /// Name of the agent of one backend server; stays the same across restarts.
     AgentId
 );
+
+/// Name of an engine group, as its ranks report it; any text. A service can have
+/// several groups.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EngineGroup(SmolStr);
+
+impl fmt::Display for EngineGroup {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for EngineGroup {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self(SmolStr::new(text)))
+    }
+}
+
+impl From<SmolStr> for EngineGroup {
+    fn from(name: SmolStr) -> Self {
+        Self(name)
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -128,9 +128,6 @@
     last_event: Option<SmolStr>,
 ) -> Result<Result<PendingResponse, FailedAttempt>, Reason> {
     let now = gateway.now();
-    if gateway.fleet().is_closed(&call.service, now) {
-        return Err(Reason::NoReplica);
-    }
     let target = gateway
         .fleet()
         .choose(&call.service, attempts.tried(), now)?;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,12 +1,17 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
 
+use siskinbend_groups::directory::Directory;
+use siskinbend_groups::directory::DirectoryAnswer;
+use siskinbend_groups::directory::DirectoryQuery;
+use siskinbend_groups::report::GroupLoads;
 use siskinbend_link::Connection;
 use siskinbend_link::ConnectionPool;
 use siskinbend_request::DirectAttempts;
@@ -25,6 +30,7 @@
 use siskinbend_site::settings::Bounds;
 use siskinbend_site::view::ServerUpdate;
 use siskinbend_types::AgentId;
+use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
 use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
@@ -34,7 +40,6 @@
 
 use super::Gateway;
 use super::metrics::ServiceState;
-use crate::peer::RankLoad;
 
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
@@ -57,8 +62,19 @@
     budget: RetryBudget,
     liveness: LivenessTracker,
     limit: ConcurrencyLimit,
-    /// Time of the latest report that the service's group is closed; `None` if it is open.
-    closed_at: Option<Time>,
+    /// Groups of the service's ranks.
+    directory: Directory,
+    /// Groups that were closed according to their latest loads, with the time of these.
+    closed: BTreeMap<EngineGroup, Time>,
+}
+
+impl ServiceRouting {
+    /// Lists the groups that are closed, so that none of their replicas can run requests.
+    fn list_closed(&self, now: Time) -> Vec<EngineGroup> {
+        let closed = self.closed.iter();
+        let closed = closed.filter(|(_, at)| now.since(**at) <= CLOSED_TTL);
+        closed.map(|(group, _)| group.clone()).collect()
+    }
 }
 
 /// Backend server with its latest load report and idle connections.
@@ -244,7 +260,8 @@
                     .with_ratio(ratio),
                 liveness: LivenessTracker::default(),
                 limit: ConcurrencyLimit::default(),
-                closed_at: None,
+                directory: Directory::default(),
+                closed: BTreeMap::new(),
             };
             self.services.insert(name.clone(), routing);
         }
@@ -260,11 +277,12 @@
         avoid: &[AgentId],
         now: Time,
     ) -> Result<Target, Reason> {
+        let routing = self.service(service);
         let requirements = Requirements {
             avoid: avoid.to_vec(),
+            closed_groups: routing.list_closed(now),
             ..Requirements::default()
         };
-        let routing = self.service(service);
         let choice = routing
             .picker
             .choose(&requirements, now, &mut rand::rng())?;
@@ -320,21 +338,39 @@
             && attempts.try_abandon(&target.id, &mut routing.budget, now)
     }
 
-    /// Lists the replicas' addresses of each service, in the order in which their agents lead.
-    pub fn list_groups(&self, services: &[ServiceName]) -> Vec<Vec<SocketAddr>> {
-        let ranks = |service: &ServiceName| {
-            let is_own = |p: &&Replica| &p.server.service == service;
-            let mut ranks: Vec<SocketAddr> = self
-                .replicas
-                .values()
-                .filter(is_own)
-                .map(|p| p.server.address)
-                .collect();
-            ranks.sort();
-            ranks.dedup();
-            ranks
-        };
-        services.iter().map(ranks).collect()
+    /// Lists the addresses of a service's replicas.
+    pub fn list_addresses(&self, service: &ServiceName) -> Vec<SocketAddr> {
+        let own = self
+            .replicas
+            .values()
+            .filter(|p| p.server.service == *service);
+        own.map(|p| p.server.address).collect()
+    }
+
+    /// Builds a query for the groups of a service's ranks.
+    pub fn query_directory(&self, service: &ServiceName) -> DirectoryQuery {
+        let routing = self.services.get(service);
+        routing.map_or_else(
+            || Directory::default().query(None),
+            |routing| routing.directory.query(None),
+        )
+    }
+
+    /// Merges the groups of a service's ranks. Returns whether the group of every registered rank
+    /// is known.
+    pub fn merge_directory(&mut self, service: &ServiceName, answer: DirectoryAnswer) -> bool {
+        let addresses: BTreeSet<SocketAddr> = self.list_addresses(service).into_iter().collect();
+        let directory = &mut self.service(service).directory;
+        directory.merge(answer.into_iter().flatten());
+        directory.retain(|rank| addresses.contains(rank));
+        let known = |rank: &SocketAddr| directory.find(*rank).is_some();
+        addresses.iter().all(known)
+    }
+
+    /// Lists the agents to ask for the loads of each group of a service, in the order of asking.
+    pub fn list_load_sources(&self, service: &ServiceName) -> Vec<Vec<SocketAddr>> {
+        let routing = self.services.get(service);
+        routing.map_or_else(Vec::new, |r| r.directory.list_load_sources(&self.zone))
     }
 
     /// Returns the concurrency limit of a service.
@@ -350,44 +386,56 @@
         routing.limit.try_acquire(has_capacity)
     }
 
-    /// Whether the group behind a service is closed, so that no replica can run requests.
-    pub fn is_closed(&mut self, service: &ServiceName, now: Time) -> bool {
-        let closed_at = self.service(service).closed_at;
-        closed_at.is_some_and(|at| now.since(at) <= CLOSED_TTL)
-    }
-
-    /// Records the loads reported by the leader of a group.
-    pub fn record_loads(&mut self, loads: &[RankLoad], now: Time) {
-        for load in loads {
-            let found = self
-                .replicas
-                .values()
-                .find(|p| p.server.address == load.rank)
-                .map(|p| {
-                    (
-                        p.server.id.clone(),
-                        p.server.service.clone(),
-                        p.report.slots,
-                    )
-                });
-            let Some((id, service, slots)) = found else {
+    /// Records the loads of a group.
+    pub fn record_loads(&mut self, loads: &GroupLoads, now: Time) {
+        let ids: HashMap<SocketAddr, AgentId> = self
+            .replicas
+            .values()
+            .map(|p| (p.server.address, p.server.id.clone()))
+            .collect();
+        let mut services = BTreeSet::new();
+        for load in &loads.ranks {
+            let Some(id) = ids.get(&load.rank) else {
+                continue;
+            };
+            let Some(replica) = self.replicas.get(id) else {
                 continue;
             };
+            let service = replica.server.service.clone();
             let report = LoadReport {
                 running: load.running,
                 queued: load.queued,
-                slots,
+                slots: replica.report.slots,
                 ..LoadReport::default()
             };
-            let age = Duration::from_millis(u64::from(load.age));
-            let closed_at = (!load.open).then_some(now);
-            let routing = self.service(&service);
-            if routing.closed_at.is_some() != closed_at.is_some() {
-                log::info!(service:% = service, open = load.open; "group_state");
-            }
-            routing.closed_at = closed_at;
-            self.record_aged_load(&id, Some((report, age)), now);
-            self.service(&service).picker.set_slowdown(&id, load.pace);
+            let age = Duration::from_millis(u64::from(load.age_ms));
+            self.record_aged_load(id, Some((report, age)), now);
+            let picker = &mut self.service(&service).picker;
+            picker.set_slowdown(id, f64::from(load.pace));
+            picker.set_group(id, &loads.group);
+            services.insert(service);
+        }
+        for service in services {
+            self.set_group_state(&service, &loads.group, loads.open, now);
+        }
+    }
+
+    fn set_group_state(
+        &mut self,
+        service: &ServiceName,
+        group: &EngineGroup,
+        open: bool,
+        now: Time,
+    ) {
+        let closed = &mut self.service(service).closed;
+        let was_open = !closed.contains_key(group);
+        if open {
+            closed.remove(group);
+        } else {
+            closed.insert(group.clone(), now);
+        }
+        if open != was_open {
+            log::info!(service:% = service, group:% = group, open; "group_state");
         }
     }
 
@@ -403,9 +451,7 @@
                 running: routing.limit.in_flight(),
                 limit: routing.limit.limit(),
                 report_age: ages.fold(0.0, f64::max),
-                open: routing
-                    .closed_at
-                    .is_none_or(|at| now.since(at) > CLOSED_TTL),
+                open: routing.list_closed(now).is_empty(),
             }
         };
         self.services.iter().map(describe).collect()
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -26,7 +26,7 @@
 /// Maximum size of a message.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
-/// Path on which an agent reports its rank to the leader.
+/// Path on which an agent reports ranks towards the leader.
 pub(crate) const PUSH_PATH: &str = "/push";
 /// Path that returns the state of the agent's rank.
 pub(crate) const STATE_PATH: &str = "/state";
@@ -34,6 +34,8 @@
 pub(crate) const ORDER_PATH: &str = "/order";
 /// Path that returns the load of the group's ranks.
 pub(crate) const LOADS_PATH: &str = "/loads";
+/// Path that returns which group each rank of the service belongs to.
+pub(crate) const DIRECTORY_PATH: &str = "/directory";
 
 /// New experts of one rank in one layer set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,23 +76,6 @@
     NoBase,
 }
 
-/// Load of one rank as reported by the group's leader.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(crate) struct RankLoad {
-    /// Address of the rank.
-    pub rank: SocketAddr,
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of queued requests.
-    pub queued: u32,
-    /// Slowdown factor: time per unit of work relative to a healthy rank.
-    pub pace: f64,
-    /// Whether its group runs passes.
-    pub open: bool,
-    /// Age of the load in milliseconds.
-    pub age: u32,
-}
-
 /// Client of the rank agents. Each agent is addressed by its rank, whose VM it runs on.
 pub(crate) struct PeerClient {
     port: u16,
--- a/src/rank_agent/leader.rs
+++ b/src/rank_agent/leader.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join;
 use futures::future::join_all;
 use siskinbend_groups::orders::EndReason;
 use siskinbend_groups::orders::Recovery;
@@ -17,6 +18,8 @@
 use siskinbend_groups::orders::SwitchTarget;
 use siskinbend_groups::orders::find_earliest_hold;
 use siskinbend_groups::orders::generate_version;
+use siskinbend_groups::report::RankReport;
+use siskinbend_groups::view::MIN_REPORT_INTERVAL;
 use siskinbend_placement::even_split::Limits;
 use siskinbend_placement::even_split::MIN_SWITCH_GAIN;
 use siskinbend_placement::even_split::Plan;
@@ -31,8 +34,6 @@
 use tokio::time::sleep;
 
 use super::Agent;
-use super::group_view::MIN_REPORT_INTERVAL;
-use super::group_view::RankReport;
 use super::map_history::encode_change;
 use crate::peer::ORDER_PATH;
 use crate::peer::RelayedOrder;
@@ -116,8 +117,8 @@
         Some(RankReport {
             rank,
             state,
-            chosen: Vec::new(),
             placement,
+            age_ms: 0,
         })
     });
     for report in join_all(reads).await.into_iter().flatten() {
@@ -142,8 +143,8 @@
         let placeholder = RankReport {
             rank: UNKNOWN_ADDRESS,
             state: RankState::default(),
-            chosen: Vec::new(),
             placement: vec![Vec::new(); sets],
+            age_ms: 0,
         };
         reports.insert(rank, placeholder);
     }
@@ -197,6 +198,23 @@
     }
 }
 
+/// Asks the agents with lower addresses that did not respond lately whether they are back. Returns
+/// whether none is, so that this agent may give orders. An agent that only one other could not reach
+/// for a moment still leads, and orders of two leaders would obstruct each other.
+async fn confirm_lead(agent: &Arc<Agent>) -> bool {
+    let skipped = agent.group_view().list_skipped();
+    let calls = skipped.into_iter().map(|rank| async move {
+        let response: Option<Option<RankState>> = agent.peers.call(rank, STATE_PATH, &()).await;
+        response.is_some().then_some(rank)
+    });
+    let responsive: Vec<SocketAddr> = join_all(calls).await.into_iter().flatten().collect();
+    for rank in &responsive {
+        log::info!(leader:% = rank; "leader_is_back");
+        agent.group_view().mark_responsive(*rank);
+    }
+    responsive.is_empty()
+}
+
 async fn rebalance(agent: &Arc<Agent>, group: &GroupSnapshot) {
     let now = agent.now();
     let demand: Vec<f64> = match agent.group_view().demand.estimate(now) {
@@ -229,6 +247,9 @@
     let (Some(own), Some(floor)) = (own, find_hold_floor(agent, group, &states)) else {
         return;
     };
+    if !confirm_lead(agent).await {
+        return;
+    }
     let new_map = map.clone();
     let target = SwitchTarget {
         own_rank: own,
@@ -319,7 +340,10 @@
 async fn recover(agent: &Arc<Agent>, group: &GroupSnapshot) {
     let mut addresses = group.ranks.clone();
     addresses.retain(|address| *address != UNKNOWN_ADDRESS);
-    let mut reads = read_states(agent, &addresses).await;
+    let (leads, mut reads) = join(confirm_lead(agent), read_states(agent, &addresses)).await;
+    if !leads {
+        return;
+    }
     let states: Option<Vec<RankState>> = reads.iter().cloned().collect();
     let Some(states) = states else {
         return;
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -1,7 +1,7 @@
 //! Agent of one rank of an engine group: reports its rank's state and expert counts, relays orders,
 //! and rebalances the experts if it leads the group.
 
-mod group_view;
+mod directory;
 mod leader;
 mod map_history;
 mod report;
@@ -14,6 +14,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use siskinbend_groups::view::GroupView;
 use siskinbend_site::Engine;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::Source;
@@ -24,7 +25,6 @@
 use crate::platform;
 use crate::shutdown::Shutdown;
 
-use group_view::GroupView;
 use map_history::MapHistory;
 
 /// Interval of registry reads.
@@ -97,7 +97,7 @@
         peers: PeerClient::new(settings.peers.port()),
         clock: BootClock,
         shutdown,
-        group_view: Mutex::new(GroupView::new(rank_address)),
+        group_view: Mutex::new(GroupView::new(rank_address, settings.zone.clone())),
         map_history: Mutex::default(),
         settings,
     });
@@ -112,6 +112,7 @@
     server::start(&agent).await.map_err(StartError::Bind)?;
     tokio::spawn(poll_registry(Arc::clone(&agent)));
     tokio::spawn(report::run(Arc::clone(&agent)));
+    tokio::spawn(directory::run(Arc::clone(&agent)));
     leader::run(&agent).await;
     log::info!(node:% = agent.settings.node; "rank_agent_stopped");
     Ok(())
@@ -130,9 +131,9 @@
                     .content
                     .into_iter()
                     .filter(|s| service.as_ref().is_none_or(|own| *own == s.service))
-                    .map(|s| s.address)
+                    .map(|s| (s.address, s.zone))
                     .collect();
-                agent.group_view().set_members(ranks);
+                agent.group_view().set_registered(ranks);
                 wait_for_next_read(&agent).await;
             }
             Err(error) => {
--- a/src/rank_agent/server.rs
+++ b/src/rank_agent/server.rs
@@ -13,11 +13,13 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use serde::Serialize;
+use siskinbend_groups::directory::DirectoryQuery;
+use siskinbend_groups::report::ReportBundle;
 use tokio::net::TcpListener;
 
 use super::Agent;
-use super::group_view::RankReport;
 use crate::listener;
+use crate::peer::DIRECTORY_PATH;
 use crate::peer::LOADS_PATH;
 use crate::peer::MAX_MESSAGE_BYTES;
 use crate::peer::ORDER_PATH;
@@ -53,18 +55,40 @@
     let result = match path.as_str() {
         PUSH_PATH => handle_report(&agent, &content),
         STATE_PATH => encode(&agent.engine.read_state(agent.rank_address).await),
-        LOADS_PATH => encode(&agent.group_view().list_loads(agent.now())),
+        LOADS_PATH => encode(&agent.group_view().find_loads(agent.now())),
+        DIRECTORY_PATH => handle_directory_query(&agent, &content),
         ORDER_PATH => relay_order(&agent, &content).await,
         _ => Err(StatusCode::NOT_FOUND),
     };
     Ok(result.unwrap_or_else(error_response))
 }
 
+/// Receives reports, and answers with the loads of the group if they are wanted and known.
 fn handle_report(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let report: RankReport = postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let bundle: ReportBundle =
+        postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
     let now = agent.now();
-    agent.group_view().record_report(report, now);
-    encode(&())
+    let mut view = agent.group_view();
+    let wants_loads = bundle.wants_loads;
+    if !view.receive(bundle, now) {
+        // The sender's directory is outdated: this rank has joined another group.
+        return Err(StatusCode::CONFLICT);
+    }
+    let loads = if wants_loads {
+        view.find_loads(now)
+    } else {
+        None
+    };
+    encode(&loads)
+}
+
+fn handle_directory_query(
+    agent: &Agent,
+    content: &[u8],
+) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let query: DirectoryQuery =
+        postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
+    encode(&agent.group_view().answer_directory(query))
 }
 
 async fn relay_order(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -94,7 +94,12 @@
 
 impl Deployment {
     async fn start() -> Deployment {
-        let site = Site::start(RANKS).await.expect("the stand-ins start");
+        Deployment::start_groups(1).await
+    }
+
+    async fn start_groups(groups: usize) -> Deployment {
+        let site = Site::start_groups(groups, RANKS).await;
+        let site = site.expect("the stand-ins start");
         let ports = free_ports(3).expect("three ports");
         let callers: SocketAddr = ([127, 0, 2, 1], ports[0]).into();
         let ready: SocketAddr = ([127, 0, 2, 1], ports[1]).into();
@@ -510,7 +515,7 @@
     let mut agents: Vec<Process> = (0..RANKS).map(start).collect();
     let started = Instant::now();
     let mut killed = false;
-    while deployment.site.group.switch_counts().0 < 2 * RANKS as u32 {
+    while deployment.site.groups[0].switch_counts().0 < 2 * RANKS as u32 {
         assert!(
             started.elapsed() < EVENT_TIMEOUT,
             "the map was not switched twice"
@@ -518,15 +523,15 @@
         deployment
             .call("/draft/x/", &format!("i{}", started.elapsed().as_micros()))
             .await;
-        if !killed && deployment.site.group.switch_counts().0 > 0 {
+        if !killed && deployment.site.groups[0].switch_counts().0 > 0 {
             agents[0] = start(0);
             killed = true;
             // The demand changes, so that a new map is needed.
-            deployment.site.group.shift_hot_expert();
+            deployment.site.groups[0].shift_hot_expert();
         }
     }
     assert_eq!(
-        deployment.site.group.switch_counts().1,
+        deployment.site.groups[0].switch_counts().1,
         0,
         "passes with two maps"
     );
@@ -550,10 +555,31 @@
         .register_replica(first, "drafts", address);
     let leader = start(0);
     let started = Instant::now();
-    while deployment.site.group.switch_counts().0 == 0 {
+    while deployment.site.groups[0].switch_counts().0 == 0 {
         assert!(started.elapsed() < EVENT_TIMEOUT / 2, "no map was switched");
         let id = format!("j{}", started.elapsed().as_micros());
         deployment.call("/draft/x/", &id).await;
     }
     drop((agents, leader));
 }
+
+/// Guards against agents that take all ranks of a service for one group, so that no group of several
+/// ever gets a map, and against orders to the ranks of another group.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_group_switches_maps() {
+    const GROUPS: usize = 3;
+    let deployment = Deployment::start_groups(GROUPS).await;
+    let start = |n: usize| Process::start("rank-agent", &deployment.site.rank_settings(n));
+    let agents: Vec<Process> = (0..GROUPS * RANKS).map(start).collect();
+    let groups = &deployment.site.groups;
+    let started = Instant::now();
+    while groups.iter().any(|g| g.switch_counts().0 < RANKS as u32) {
+        let counts: Vec<(u32, u32)> = groups.iter().map(|g| g.switch_counts()).collect();
+        assert!(started.elapsed() < EVENT_TIMEOUT, "switches: {counts:?}");
+        let id = format!("k{}", started.elapsed().as_micros());
+        deployment.call("/draft/x/", &id).await;
+    }
+    let mixed: u32 = groups.iter().map(|g| g.switch_counts().1).sum();
+    assert_eq!(mixed, 0, "passes with two maps");
+    drop(agents);
+}
--- /dev/null
+++ b/tests/integration/group_choice.rs
@@ -0,0 +1,98 @@
+//! Choice of replicas when several lock-step groups stand behind one service.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use siskinbend_routing::Picker;
+use siskinbend_routing::PolicyKind;
+use siskinbend_routing::Requirements;
+use siskinbend_types::EngineGroup;
+use siskinbend_types::Reason;
+use siskinbend_types::Time;
+
+use crate::choice::agent;
+use crate::choice::observation;
+use crate::choice::picker;
+
+const GROUPS: usize = 3;
+const RANKS: usize = 8;
+
+fn group(n: usize) -> EngineGroup {
+    format!("g{n}").parse().expect("any text is a group")
+}
+
+/// Three groups of eight ranks whose slowdowns `slowdown` returns by group and rank.
+fn groups(slowdown: impl Fn(usize, usize) -> f64) -> Picker {
+    let mut picker = picker(PolicyKind::Siskinbend);
+    for n in 0..GROUPS * RANKS {
+        picker.observe(&agent(n), observation(2), Time(1));
+        picker.set_group(&agent(n), &group(n / RANKS));
+        picker.set_slowdown(&agent(n), slowdown(n / RANKS, n % RANKS));
+    }
+    picker
+}
+
+/// Sends 600 requests; returns how many each rank receives.
+fn send_requests(picker: &mut Picker, requirements: &Requirements) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut received = vec![0; GROUPS * RANKS];
+    for _ in 0..600 {
+        let choice = picker.choose(requirements, Time(2), &mut rng);
+        let choice = choice.expect("there are open groups");
+        let index = (0..received.len()).position(|n| agent(n) == choice.agent);
+        received[index.expect("a known rank")] += 1;
+        picker.record_dispatch(&choice.agent, Time(2));
+    }
+    received
+}
+
+/// Guards against an outage of one group that shuts the whole service: its requests are shared by
+/// the other groups.
+#[test]
+fn closed_group_is_skipped() {
+    let mut picker = groups(|_, _| 1.0);
+    let requirements = Requirements {
+        closed_groups: vec![group(1)],
+        ..Requirements::default()
+    };
+    let received = send_requests(&mut picker, &requirements);
+    let sums: Vec<usize> = received.chunks(RANKS).map(|r| r.iter().sum()).collect();
+    assert_eq!(sums[1], 0);
+    assert!(sums[0].abs_diff(sums[2]) < 100, "{sums:?}");
+}
+
+/// Guards against requests that wait for a group to open: without an open group they are refused at
+/// once.
+#[test]
+fn closed_groups_refuse() {
+    let mut picker = groups(|_, _| 1.0);
+    let requirements = Requirements {
+        closed_groups: (0..GROUPS).map(group).collect(),
+        ..Requirements::default()
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let choice = picker.choose(&requirements, Time(2), &mut rng);
+    assert_eq!(choice, Err(Reason::NoReplica));
+}
+
+/// Guards against a slow rank that costs other groups capacity, or that is kept because most ranks
+/// of another group are as slow.
+#[test]
+fn slow_ranks_count_by_group() {
+    let slowdown = |group: usize, rank: usize| match (group, rank) {
+        (0, 0) => 2.0,
+        (1, _) => 2.0,
+        _ => 1.0,
+    };
+    let mut picker = groups(slowdown);
+    assert!(picker.delays_group(&agent(0)));
+    assert!(
+        !picker.delays_group(&agent(RANKS)),
+        "its whole group is slow"
+    );
+    let received = send_requests(&mut picker, &Requirements::default());
+    assert_eq!(received[0], 0);
+    assert!(
+        received[RANKS..2 * RANKS].iter().all(|n| *n > 0),
+        "{received:?}"
+    );
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,6 +18,8 @@
 mod freeze_wake;
 mod gateway_shell;
 mod graceful_drain;
+mod group_choice;
+mod group_directory;
 mod group_shell;
 mod half_cut_link;
 mod history;
