Pass orders and reads on by zone in large groups

Change: a message for several ranks of a zone goes to one agent there, which passes it on; a map is never sent straight to the rank of an agent that is only late; a confirmed hold is repeated only after 60 ms. The calls stand in rank_agent/relay.rs, out of the leader's file.

Ruled out: longer timeouts alone, because the bytes take seconds on that link.

Tests: confirmed_hold_is_not_repeated fails without the confirmation.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -36,6 +36,9 @@
 const PREPARE_RETRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Timeout for all ranks to copy their experts.
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time within which a confirmed hold appears in the state of its rank. Until then the order is not
+/// repeated: the rank refuses a second hold while it has one.
+const HOLD_VISIBLE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Number of holds that come too late after which a switch is abandoned.
 const MAX_HOLD_ATTEMPTS: u32 = 5;
 /// Consecutive rounds with an unread rank after which a recovery ends, so that it can be started
@@ -152,6 +155,10 @@
     ready: Vec<bool>,
     /// Whether each rank is armed.
     armed: Vec<bool>,
+    /// When the hold order was last sent.
+    hold_sent: Time,
+    /// Whether the rank has confirmed that order.
+    is_hold_confirmed: bool,
     /// Whether an order of this switch was not answered.
     has_unanswered: bool,
     /// The current pass when the switch began.
@@ -170,6 +177,8 @@
             prepare_sent: vec![None; size],
             ready: vec![false; size],
             armed: vec![false; size],
+            hold_sent: now,
+            is_hold_confirmed: false,
             has_unanswered: false,
             first: None,
         }
@@ -184,6 +193,9 @@
                 self.has_unanswered = true;
             }
             (Task::Arm(_), OrderReply::Holds) => self.armed[rank] = true,
+            (Task::Hold { .. }, OrderReply::Begun | OrderReply::Holds) => {
+                self.is_hold_confirmed = true;
+            }
             _ => {}
         }
     }
@@ -288,6 +300,12 @@
             return Round::default();
         }
         self.phase = Phase::Holding { step, attempts };
+        self.send_hold(step, now)
+    }
+
+    fn send_hold(&mut self, step: u64, now: Time) -> Round {
+        self.hold_sent = now;
+        self.is_hold_confirmed = false;
         Round::single(self.holder, Task::Hold { step }, self.target.epoch)
     }
 
@@ -302,7 +320,10 @@
         if holder.step >= step {
             return self.choose_pass(states, attempts + 1, now);
         }
-        Round::single(self.holder, Task::Hold { step }, self.target.epoch)
+        if self.is_hold_confirmed && now.since(self.hold_sent) < HOLD_VISIBLE_TIMEOUT {
+            return Round::default();
+        }
+        self.send_hold(step, now)
     }
 
     fn arm(&mut self, states: &[Option<RankState>], step: u64) -> Round {
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -282,6 +282,22 @@
         receivers
     }
 
+    /// Returns the rank whose agent passes messages on to the agent of `rank`: in a large group the
+    /// responsive one with the lowest address in its zone, otherwise the rank itself.
+    pub fn find_relay(&self, rank: SocketAddr, now: Time) -> SocketAddr {
+        let zone = self.directory.find(rank).map(|entry| &entry.zone);
+        if !self.reports_by_zone() || zone.is_none() {
+            return rank;
+        }
+        let is_local = |other: &&SocketAddr| {
+            let entry = self.directory.find(**other);
+            entry.map(|entry| &entry.zone) == zone
+                && self.is_candidate(other, now)
+                && !self.is_read_directly(**other)
+        };
+        self.members.iter().find(is_local).copied().unwrap_or(rank)
+    }
+
     /// Lists the agents with lower addresses that did not respond lately. Before an agent gives
     /// orders as the leader, none of them may respond.
     pub fn list_skipped(&self) -> Vec<SocketAddr> {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,6 +17,7 @@
 use siskinbend_link::read_body;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
+use siskinbend_site::engine::RankState;
 use tokio::time::timeout;
 
 /// Timeout of a call, including the agent's own call to its rank.
@@ -28,10 +29,9 @@
 
 /// Path on which an agent reports ranks towards the leader.
 pub(crate) const PUSH_PATH: &str = "/push";
-/// Path that returns the state of the agent's rank.
-pub(crate) const STATE_PATH: &str = "/state";
-/// Path on which an agent relays an order to its rank.
-pub(crate) const ORDER_PATH: &str = "/order";
+/// Path on which an agent reads its rank, relays an order to it, or passes both on to the agents of
+/// other ranks.
+pub(crate) const RELAY_PATH: &str = "/relay";
 /// Path that returns the load of the group's ranks.
 pub(crate) const LOADS_PATH: &str = "/loads";
 /// Path that returns which group each rank of the service belongs to.
@@ -67,13 +67,35 @@
     },
 }
 
-/// Reply of an agent to a relayed order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum RelayedReply {
-    /// The rank's reply.
-    Answered(OrderReply),
-    /// The agent no longer has the earlier map.
+/// What an agent does with its rank for another agent.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum RelayCall {
+    /// Reads the state of the rank.
+    Read,
+    /// Sends an order to the rank.
+    Order(RelayedOrder),
+}
+
+/// Call for several ranks. The receiver passes it on to the agents of the other ranks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct RelayMessage {
+    /// Addresses of the ranks.
+    pub ranks: Vec<SocketAddr>,
+    /// What to do with each of them.
+    pub call: RelayCall,
+}
+
+/// Answer for one rank.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum RelayAnswer {
+    /// State of the rank, if it could be read.
+    State(Option<RankState>),
+    /// The rank's reply to the order.
+    Replied(OrderReply),
+    /// The agent no longer has the map that the new one is based on.
     NoBase,
+    /// The agent of the rank did not respond.
+    Silent,
 }
 
 /// Client of the rank agents. Each agent is addressed by its rank, whose VM it runs on.
@@ -97,13 +119,28 @@
         path: &'static str,
         message: &Message,
     ) -> Option<Answer>
+    where
+        Message: Serialize,
+        Answer: for<'de> Deserialize<'de>,
+    {
+        self.call_within(CALL_TIMEOUT, rank, path, message).await
+    }
+
+    /// Calls the agent of a rank with another timeout than usual.
+    pub async fn call_within<Message, Answer>(
+        &self,
+        limit: Duration,
+        rank: SocketAddr,
+        path: &'static str,
+        message: &Message,
+    ) -> Option<Answer>
     where
         Message: Serialize,
         Answer: for<'de> Deserialize<'de>,
     {
         let address = SocketAddr::new(rank.ip(), self.port);
         let body = postcard::to_stdvec(message).ok()?;
-        let answer = timeout(CALL_TIMEOUT, self.exchange(address, path, body.into())).await;
+        let answer = timeout(limit, self.exchange(address, path, body.into())).await;
         let bytes = match answer {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
--- a/src/rank_agent/leader.rs
+++ b/src/rank_agent/leader.rs
@@ -29,16 +29,12 @@
 use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
 use siskinbend_site::engine::RankState;
-use siskinbend_site::engine::Task;
 use siskinbend_types::Time;
 use tokio::time::sleep;
 
 use super::Agent;
-use super::map_history::encode_change;
-use crate::peer::ORDER_PATH;
-use crate::peer::RelayedOrder;
-use crate::peer::RelayedReply;
-use crate::peer::STATE_PATH;
+use super::relay;
+use super::relay::MapBase;
 
 /// Interval at which ranks that copy experts are polled.
 const COPY_POLL_INTERVAL: Duration = Duration::from_millis(60);
@@ -203,10 +199,9 @@
 /// for a moment still leads, and orders of two leaders would obstruct each other.
 async fn confirm_lead(agent: &Arc<Agent>) -> bool {
     let skipped = agent.group_view().list_skipped();
-    let calls = skipped.into_iter().map(|rank| async move {
-        let response: Option<Option<RankState>> = agent.peers.call(rank, STATE_PATH, &()).await;
-        response.is_some().then_some(rank)
-    });
+    let calls = skipped
+        .into_iter()
+        .map(|rank| async move { relay::is_responsive(agent, rank).await.then_some(rank) });
     let responsive: Vec<SocketAddr> = join_all(calls).await.into_iter().flatten().collect();
     for rank in &responsive {
         log::info!(leader:% = rank; "leader_is_back");
@@ -242,7 +237,7 @@
     }
     let copies: usize = plans.iter().map(|plan| plan.copies).sum();
     let map: Vec<Placement> = plans.into_iter().map(|plan| plan.map).collect();
-    let states = read_states(agent, &group.ranks).await;
+    let states = relay::read_states(agent, &group.ranks).await;
     let own = group.ranks.iter().position(|r| *r == agent.rank_address);
     let (Some(own), Some(floor)) = (own, find_hold_floor(agent, group, &states)) else {
         return;
@@ -340,7 +335,7 @@
 async fn recover(agent: &Arc<Agent>, group: &GroupSnapshot) {
     let mut addresses = group.ranks.clone();
     addresses.retain(|address| *address != UNKNOWN_ADDRESS);
-    let (leads, mut reads) = join(confirm_lead(agent), read_states(agent, &addresses)).await;
+    let (leads, mut reads) = join(confirm_lead(agent), relay::read_states(agent, &addresses)).await;
     if !leads {
         return;
     }
@@ -444,15 +439,18 @@
             return round.ended;
         }
         let is_idle = round.orders.is_empty();
-        let sends = round.orders.into_iter().map(|(rank, order)| {
-            let address = ranks[rank];
-            async move {
-                let reply = send_order(agent, group, address, &order).await;
-                (rank, order, reply)
-            }
-        });
-        for (rank, order, reply) in join_all(sends).await {
-            procedure.record_reply(rank, &order, reply);
+        let base = MapBase {
+            version: group.states[0].map,
+            map: &group.map,
+        };
+        let orders: Vec<(SocketAddr, &Order)> = round
+            .orders
+            .iter()
+            .map(|(rank, order)| (ranks[*rank], order))
+            .collect();
+        let replies = relay::send_orders(agent, &base, &orders).await;
+        for ((rank, order), reply) in round.orders.iter().zip(replies) {
+            procedure.record_reply(*rank, order, reply);
         }
         match (procedure.is_urgent(), is_idle) {
             (true, true) => sleep(HOLD_POLL_INTERVAL).await,
@@ -463,66 +461,10 @@
             .filter(|rank| procedure.needs_read(*rank))
             .collect();
         let addresses: Vec<SocketAddr> = needed.iter().map(|rank| ranks[*rank]).collect();
-        let reads = read_states(agent, &addresses).await;
+        let reads = relay::read_states(agent, &addresses).await;
         for (rank, state) in needed.into_iter().zip(reads) {
             states[rank] = state;
         }
     }
     None
 }
-
-/// Reads the current state of ranks through their agents, or directly if an agent does not respond.
-async fn read_states(agent: &Arc<Agent>, ranks: &[SocketAddr]) -> Vec<Option<RankState>> {
-    let reads = ranks.iter().map(|rank| async move {
-        if *rank == agent.rank_address || agent.group_view().is_read_directly(*rank) {
-            return agent.engine.read_state(*rank).await;
-        }
-        let response: Option<Option<RankState>> = agent.peers.call(*rank, STATE_PATH, &()).await;
-        match response {
-            Some(Some(state)) => Some(state),
-            _ => agent.engine.read_state(*rank).await,
-        }
-    });
-    join_all(reads).await
-}
-
-async fn send_order(
-    agent: &Arc<Agent>,
-    group: &GroupSnapshot,
-    rank: SocketAddr,
-    order: &Order,
-) -> OrderReply {
-    let is_direct = rank == agent.rank_address || agent.group_view().is_read_directly(rank);
-    // Holds and releases are sent directly, so that a freeze of a relaying VM cannot delay them.
-    let is_hold = matches!(order.task, Task::Hold { .. } | Task::Go { .. });
-    let relayed = match is_direct || is_hold {
-        true => None,
-        false => relay_order(agent, group, rank, order).await,
-    };
-    let reply = match relayed {
-        Some(reply) => reply,
-        None => agent.engine.send_order(rank, order).await,
-    };
-    log::debug!(rank:% = rank, task = order.task.as_str(), reply:? = reply; "order_given");
-    reply
-}
-
-/// Sends an order through the rank's agent; a map is sent as a difference if possible.
-async fn relay_order(
-    agent: &Arc<Agent>,
-    group: &GroupSnapshot,
-    rank: SocketAddr,
-    order: &Order,
-) -> Option<OrderReply> {
-    if let Some(change) = encode_change(order, group.states[0].map, &group.map) {
-        match agent.peers.call(rank, ORDER_PATH, &change).await? {
-            RelayedReply::Answered(reply) => return Some(reply),
-            RelayedReply::NoBase => {}
-        }
-    }
-    let full = RelayedOrder::Whole(order.clone());
-    match agent.peers.call(rank, ORDER_PATH, &full).await? {
-        RelayedReply::Answered(reply) => Some(reply),
-        RelayedReply::NoBase => None,
-    }
-}
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod leader;
 mod map_history;
+mod relay;
 mod report;
 mod server;
 
--- a/src/rank_agent/server.rs
+++ b/src/rank_agent/server.rs
@@ -18,15 +18,14 @@
 use tokio::net::TcpListener;
 
 use super::Agent;
+use super::relay;
 use crate::listener;
 use crate::peer::DIRECTORY_PATH;
 use crate::peer::LOADS_PATH;
 use crate::peer::MAX_MESSAGE_BYTES;
-use crate::peer::ORDER_PATH;
 use crate::peer::PUSH_PATH;
-use crate::peer::RelayedOrder;
-use crate::peer::RelayedReply;
-use crate::peer::STATE_PATH;
+use crate::peer::RELAY_PATH;
+use crate::peer::RelayMessage;
 
 /// Binds the agent's address and starts serving.
 pub(super) async fn start(agent: &Arc<Agent>) -> std::io::Result<()> {
@@ -54,10 +53,9 @@
     };
     let result = match path.as_str() {
         PUSH_PATH => handle_report(&agent, &content),
-        STATE_PATH => encode(&agent.engine.read_state(agent.rank_address).await),
         LOADS_PATH => encode(&agent.group_view().find_loads(agent.now())),
         DIRECTORY_PATH => handle_directory_query(&agent, &content),
-        ORDER_PATH => relay_order(&agent, &content).await,
+        RELAY_PATH => relay(&agent, &content).await,
         _ => Err(StatusCode::NOT_FOUND),
     };
     Ok(result.unwrap_or_else(error_response))
@@ -91,17 +89,10 @@
     encode(&agent.group_view().answer_directory(query))
 }
 
-async fn relay_order(agent: &Agent, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let relayed: RelayedOrder =
+async fn relay(agent: &Arc<Agent>, content: &[u8]) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let message: RelayMessage =
         postcard::from_bytes(content).map_err(|_| StatusCode::BAD_REQUEST)?;
-    let order = agent.map_history().resolve(relayed);
-    let reply = match order {
-        Some(order) => {
-            RelayedReply::Answered(agent.engine.send_order(agent.rank_address, &order).await)
-        }
-        None => RelayedReply::NoBase,
-    };
-    encode(&reply)
+    encode(&relay::execute(agent, message).await)
 }
 
 fn encode<Content>(content: &Content) -> Result<Response<Full<Bytes>>, StatusCode>
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -462,9 +462,23 @@
     assert_eq!(round.ended, Some(EndReason::Blocked), "{round:?}");
 }
 
-/// The lead that a switch chooses for the held pass after its preparation took 120 ms and `passes`
-/// passes.
-fn choose_lead(passes: u64, reply: OrderReply) -> u64 {
+/// States of ranks that are at a pass and may have prepared a version.
+fn read_group(step: u64, prepared: Option<u64>) -> Vec<Option<RankState>> {
+    let state = |rank: usize| RankState {
+        epoch: 1,
+        rank: rank as u16,
+        size: RANKS as u16,
+        open: true,
+        step,
+        prepared,
+        ..RankState::default()
+    };
+    (0..RANKS).map(|rank| Some(state(rank))).collect()
+}
+
+/// A switch to version 7 and its hold order, after its preparation took 120 ms and `passes` passes.
+/// `reply` is what one rank answers to the prepare order.
+fn prepare_switch(passes: u64, reply: OrderReply) -> (Switch, usize, Order) {
     let target = SwitchTarget {
         own_rank: 0,
         epoch: 1,
@@ -473,30 +487,45 @@
         after_pass: 0,
     };
     let mut switch = Switch::new(target, RANKS, Time::default());
-    let read = |step: u64, prepared: Option<u64>| -> Vec<Option<RankState>> {
-        let state = |rank: usize| RankState {
-            epoch: 1,
-            rank: rank as u16,
-            size: RANKS as u16,
-            open: true,
-            step,
-            prepared,
-            ..RankState::default()
-        };
-        (0..RANKS).map(|rank| Some(state(rank))).collect()
-    };
-    for (rank, order) in switch.advance(&read(40, None), Time::default()).orders {
+    let round = switch.advance(&read_group(40, None), Time::default());
+    for (rank, order) in round.orders {
         let answer = if rank == 2 { reply } else { OrderReply::Begun };
         switch.record_reply(rank, &order, answer);
     }
-    let step = 40 + passes;
-    let round = switch.advance(&read(step, Some(7)), Time::from_millis(120));
-    match round.orders[0].1.task {
-        Task::Hold { step: held } => held - step,
-        _ => panic!("no hold: {round:?}"),
+    let states = read_group(40 + passes, Some(7));
+    let round = switch.advance(&states, Time::from_millis(120));
+    let (holder, order) = round.orders.into_iter().next().expect("a hold order");
+    (switch, holder, order)
+}
+
+/// The lead that a switch chooses for the held pass.
+fn choose_lead(passes: u64, reply: OrderReply) -> u64 {
+    match prepare_switch(passes, reply).2.task {
+        Task::Hold { step: held } => held - (40 + passes),
+        task => panic!("no hold: {task:?}"),
     }
 }
 
+/// Guards against holds that the rank refuses because it has the same hold already: a confirmed hold
+/// is not repeated until it should have appeared in the rank's state.
+#[test]
+fn confirmed_hold_is_not_repeated() {
+    let states = read_group(42, Some(7));
+    let (mut switch, holder, order) = prepare_switch(2, OrderReply::Begun);
+    switch.record_reply(holder, &order, OrderReply::Begun);
+    let early = switch.advance(&states, Time::from_millis(130));
+    assert_eq!(early.orders, [], "the state may be older than the reply");
+    let late = switch.advance(&states, Time::from_millis(200));
+    assert_eq!(
+        late.orders,
+        [(holder, order.clone())],
+        "it may have been lost"
+    );
+    switch.record_reply(holder, &order, OrderReply::Unknown);
+    let repeated = switch.advance(&states, Time::from_millis(205));
+    assert_eq!(repeated.orders, [(holder, order)], "it was not confirmed");
+}
+
 /// Guards against a group that stalls at every switch while some orders go unanswered: the repeated
 /// orders arrived after the held pass was due.
 #[test]
