--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -380,6 +380,7 @@
                 corrected_load: r.estimate_requests(peers) / slots * hold_ratio,
                 added_load: hold_ratio / slots,
                 local: r.zone == self.own_zone,
+                grouped: r.group.is_some(),
                 affinity: requirements.prefix.map(|p| stable_hash((p, &r.agent))),
             }
         };
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -73,7 +73,8 @@
     /// Largest load of such a replica above `affinity_ceiling`, as a multiple of the mean load,
     /// while all replicas are saturated.
     pub saturated_bound: f64,
-    /// Mean load of the own zone up to which no requests go to other zones.
+    /// Mean load of the own zone up to which no requests go to other zones. Replicas of lock-step
+    /// groups have no such load: every request slows all others of its group down.
     pub spill_load: f64,
     /// Above `spill_load`, the largest load of the own zone as a multiple of the mean load.
     pub spill_ratio: f64,
@@ -106,6 +107,8 @@
     pub added_load: f64,
     /// Whether the replica is in the entry's own availability zone.
     pub local: bool,
+    /// Whether the replica runs in lock-step with others.
+    pub grouped: bool,
     /// Rendezvous hash of the replica and the prompt prefix, if the request has one.
     pub affinity: Option<u64>,
 }
@@ -184,10 +187,11 @@
             .copied()
             .filter(|i| candidates[*i].local)
             .collect();
-        let limit = self
-            .tuning
-            .spill_load
-            .max(mean_load(candidates, &all) * self.tuning.spill_ratio);
+        let spill_load = match candidates.iter().any(|c| c.grouped) {
+            true => 0.0,
+            false => self.tuning.spill_load,
+        };
+        let limit = spill_load.max(mean_load(candidates, &all) * self.tuning.spill_ratio);
         if local.is_empty() || mean_load(candidates, &local) > limit {
             all
         } else {
--- a/tests/integration/group_choice.rs
+++ b/tests/integration/group_choice.rs
@@ -2,6 +2,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use siskinbend_routing::Observation;
 use siskinbend_routing::Picker;
 use siskinbend_routing::PolicyKind;
 use siskinbend_routing::Requirements;
@@ -12,6 +13,7 @@
 use crate::choice::agent;
 use crate::choice::observation;
 use crate::choice::picker;
+use crate::choice::zone;
 
 const GROUPS: usize = 3;
 const RANKS: usize = 8;
@@ -31,11 +33,11 @@
     picker
 }
 
-/// Sends 600 requests; returns how many each rank receives.
-fn send_requests(picker: &mut Picker, requirements: &Requirements) -> Vec<usize> {
+/// Sends requests; returns how many each rank receives.
+fn send_requests(picker: &mut Picker, requirements: &Requirements, count: usize) -> Vec<usize> {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut received = vec![0; GROUPS * RANKS];
-    for _ in 0..600 {
+    for _ in 0..count {
         let choice = picker.choose(requirements, Time(2), &mut rng);
         let choice = choice.expect("there are open groups");
         let index = (0..received.len()).position(|n| agent(n) == choice.agent);
@@ -54,7 +56,7 @@
         closed_groups: vec![group(1)],
         ..Requirements::default()
     };
-    let received = send_requests(&mut picker, &requirements);
+    let received = send_requests(&mut picker, &requirements, 600);
     let sums: Vec<usize> = received.chunks(RANKS).map(|r| r.iter().sum()).collect();
     assert_eq!(sums[1], 0);
     assert!(sums[0].abs_diff(sums[2]) < 100, "{sums:?}");
@@ -89,10 +91,29 @@
         !picker.delays_group(&agent(RANKS)),
         "its whole group is slow"
     );
-    let received = send_requests(&mut picker, &Requirements::default());
+    let received = send_requests(&mut picker, &Requirements::default(), 600);
     assert_eq!(received[0], 0);
     assert!(
         received[RANKS..2 * RANKS].iter().all(|n| *n > 0),
         "{received:?}"
     );
 }
+
+/// Guards against a group in a busy zone that is loaded into lateness while groups in other zones
+/// have little to do: requests leave their zone as soon as it has more load than the others.
+#[test]
+fn busy_zone_shares_its_requests() {
+    let mut picker = picker(PolicyKind::Siskinbend);
+    for n in 0..GROUPS * RANKS {
+        let running = if n < RANKS { 6 } else { 2 };
+        let state = Observation {
+            zone: zone(n / RANKS),
+            ..observation(running)
+        };
+        picker.observe(&agent(n), state, Time(1));
+        picker.set_group(&agent(n), &group(n / RANKS));
+    }
+    let received = send_requests(&mut picker, &Requirements::default(), 40);
+    let sums: Vec<usize> = received.chunks(RANKS).map(|r| r.iter().sum()).collect();
+    assert!(sums[0] < sums[1] && sums[0] < sums[2], "{sums:?}");
+}
