Choose the pass to hold by a fresh state of its rank

While other ranks still copied, the leader no longer read a rank that was prepared, so it chose the pass by a state that was as old as the copies take (400 to 800 ms); that pass was over.

Change: the rank that holds is read until the pass is chosen.

Ruled out: the hold that is repeated before it shows.

Test: hold_follows_the_current_pass fails without the change.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -202,10 +202,10 @@
 
     /// Whether the state of a rank has to be read before the next round. An earlier state may be
     /// outdated, but a rank that is prepared or armed for this switch stays so or refuses the next
-    /// order.
+    /// order. The pass to hold is chosen by the current pass of the rank that holds it.
     pub fn needs_read(&self, rank: usize) -> bool {
         match self.phase {
-            Phase::Preparing => !self.ready[rank],
+            Phase::Preparing => !self.ready[rank] || rank == self.holder,
             Phase::Arming { .. } => !self.armed[rank],
             Phase::Holding { .. } | Phase::Releasing { .. } => rank == self.holder,
         }
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -506,6 +506,28 @@
     }
 }
 
+/// Guards against a hold of a pass that has begun: a rank that was prepared early is still read until
+/// the pass is chosen.
+#[test]
+fn hold_follows_the_current_pass() {
+    let mut switch = prepare_switch(2, OrderReply::Begun).0;
+    let target = SwitchTarget {
+        own_rank: 0,
+        epoch: 1,
+        version: 7,
+        map: Vec::new(),
+        after_pass: 0,
+    };
+    let holder = (0..RANKS).find(|rank| switch.needs_read(*rank));
+    let holder = holder.expect("the holder is read while the pass is held");
+    switch = Switch::new(target, RANKS, Time::default());
+    let mut states = read_group(40, None);
+    states[holder] = read_group(40, Some(7))[holder].clone();
+    let round = switch.advance(&states, Time::default());
+    assert!(round.orders.iter().all(|(rank, _)| *rank != holder));
+    assert!(switch.needs_read(holder), "its pass may be over by now");
+}
+
 /// Guards against holds that the rank refuses because it has the same hold already: a confirmed hold
 /// is not repeated until it should have appeared in the rank's state.
 #[test]
