Limit concurrency by group

Cause: one limit for a service refused requests while only one of its groups was late, and an outage of one group would have shed the load of all.

Change: each group has a limit (routing::GroupLimits); a new request goes to a group below its limit, and is refused when all are full. A stream that moves counts against its new group.

Tests: late_group_sheds_alone.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! The state machines are pure: the caller passes in time and random numbers.
 
 pub mod admission;
+pub mod group_limits;
 pub mod health;
 pub mod limit;
 pub mod liveness;
@@ -19,6 +20,7 @@
 pub use admission::Queue;
 pub use admission::RequestInfo;
 pub use admission::WaiterId;
+pub use group_limits::GroupLimits;
 pub use limit::ConcurrencyLimit;
 pub use liveness::LivenessTracker;
 pub use picker::AttemptResult;
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -62,7 +62,7 @@
     pub mean_ratio: f64,
 }
 
-/// The limit of one gateway for one service.
+/// The limit of one gateway for one service or one lock-step group.
 #[derive(Debug, Clone, Default)]
 pub struct ConcurrencyLimit {
     settings: Settings,
@@ -94,15 +94,23 @@
     ///
     /// With `has_capacity` the service has free slots and the limit is not enforced.
     pub fn try_acquire(&mut self, has_capacity: bool) -> bool {
-        let full = self
-            .limit
-            .is_some_and(|limit| f64::from(self.in_flight) >= limit);
-        if full && !has_capacity {
-            return false;
+        let admits = !self.is_reached() || has_capacity;
+        if admits {
+            self.acquire();
         }
+        admits
+    }
+
+    /// Whether as many requests are in flight as the limit allows.
+    pub fn is_reached(&self) -> bool {
+        self.limit
+            .is_some_and(|limit| f64::from(self.in_flight) >= limit)
+    }
+
+    /// Counts a request regardless of the limit until [`ConcurrencyLimit::release`].
+    pub fn acquire(&mut self) {
         self.in_flight += 1;
         self.peak = self.peak.max(self.in_flight);
-        true
     }
 
     /// Records the end of an admitted request.
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -71,17 +71,17 @@
     pub avoid: Vec<AgentId>,
     /// Features that the replica must have.
     pub features: Vec<Feature>,
-    /// Lock-step groups that can't run requests at present.
-    pub closed_groups: Vec<EngineGroup>,
+    /// Lock-step groups that can't run requests at present; `None` stands for the replicas whose
+    /// group is unknown or that are in none.
+    pub closed_groups: Vec<Option<EngineGroup>>,
 }
 
 impl Requirements {
     fn are_met_by(&self, replica: &Replica) -> bool {
         let has = |feature: &Feature| replica.features.contains(feature);
-        let is_closed = |group: &EngineGroup| self.closed_groups.contains(group);
         !self.avoid.contains(&replica.agent)
             && self.features.iter().all(has)
-            && !replica.group.as_ref().is_some_and(is_closed)
+            && !self.closed_groups.contains(&replica.group)
     }
 }
 
@@ -191,16 +191,22 @@
         }
     }
 
-    /// Estimates the number of requests that run or wait per slot, over all replicas that don't
-    /// drain.
-    pub fn estimate_load(&self) -> f64 {
+    /// Estimates the number of requests that run or wait per slot, over the replicas of a lock-step
+    /// group, or those without one, that don't drain.
+    pub fn estimate_load(&self, group: Option<&EngineGroup>) -> f64 {
         let peers = self.estimate_peers();
-        let active = || self.replicas.values().filter(|r| !r.draining);
+        let is_active = |r: &&Replica| !r.draining && r.group.as_ref() == group;
+        let active = || self.replicas.values().filter(is_active);
         let requests: f64 = active().map(|r| r.estimate_requests(peers)).sum();
         let slots: f64 = active().map(|r| f64::from(r.report.slots)).sum();
         requests / slots.max(1.0)
     }
 
+    /// Returns the lock-step group of a replica, if it is known.
+    pub fn find_group(&self, agent: &AgentId) -> Option<&EngineGroup> {
+        self.replicas.get(agent)?.group.as_ref()
+    }
+
     /// Removes a replica.
     pub fn remove(&mut self, agent: &AgentId) {
         self.replicas.remove(agent);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,6 +33,7 @@
 use smol_str::SmolStr;
 
 use super::Gateway;
+use super::fleet::AdmissionPermit;
 use super::fleet::AttemptGuard;
 use super::fleet::Target;
 
@@ -70,7 +71,7 @@
 
 /// Attempt without a usable response.
 pub(super) struct FailedAttempt {
-    pub attempt: AttemptGuard,
+    pub attempt: Box<AttemptGuard>,
     pub failure: AttemptFailure,
 }
 
@@ -116,7 +117,7 @@
     }
 }
 
-/// Sends a request to one backend server.
+/// Sends a request to one backend server. A permit is moved to the server's group.
 ///
 /// # Errors
 ///
@@ -125,18 +126,20 @@
     gateway: &Arc<Gateway>,
     call: &Call,
     attempts: &mut DirectAttempts,
+    permit: Option<&mut AdmissionPermit>,
     last_event: Option<SmolStr>,
 ) -> Result<Result<PendingResponse, FailedAttempt>, Reason> {
     let now = gateway.now();
     let target = gateway
         .fleet()
-        .choose(&call.service, attempts.tried(), now)?;
+        .choose(&call.service, attempts.tried(), permit, now)?;
     attempts.start_attempt();
     let mut attempt = AttemptGuard::new(gateway, target);
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
         server:% = attempt.target.id,
+        group = attempt.target.group.as_ref().map(ToString::to_string).unwrap_or_default(),
         attempt = attempts.sent(),
         load = attempt.target.load,
         report_ms = attempt.target.report_age_ms,
@@ -318,7 +321,10 @@
 
 impl FailedAttempt {
     pub fn new(attempt: AttemptGuard, failure: AttemptFailure) -> FailedAttempt {
-        FailedAttempt { attempt, failure }
+        FailedAttempt {
+            attempt: Box::new(attempt),
+            failure,
+        }
     }
 }
 
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -39,7 +39,7 @@
     let mut attempts = DirectAttempts::new(is_retryable, call.route.max_attempts, call.deadline);
     let mut error_response: Option<BufferedResponse> = None;
     loop {
-        let (target, failure) = match send_attempt(gateway, call, &mut attempts, None).await {
+        let (target, failure) = match send_attempt(gateway, call, &mut attempts, None, None).await {
             Err(reason) => {
                 return forward_or_refuse(gateway, call, &attempts, error_response, reason);
             }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -18,6 +18,7 @@
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::ConcurrencyLimit;
+use siskinbend_routing::GroupLimits;
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
 use siskinbend_routing::Observation;
@@ -48,8 +49,6 @@
 /// Fraction of the operators' retry ratio that is used, so that the ratio holds in measurement
 /// windows of any phase.
 const RETRY_RATIO_FRACTION: f64 = 0.7;
-/// Utilisation of a service's slots from which its concurrency limit is enforced.
-const BUSY_UTILISATION: f64 = 0.6;
 /// Time for which a group counts as closed after its last report of being closed.
 const CLOSED_TTL: Duration = Duration::from_millis(800);
 /// Number of randomly sampled replicas that are compared. With a larger sample, gateways with the
@@ -61,7 +60,7 @@
     picker: Picker,
     budget: RetryBudget,
     liveness: LivenessTracker,
-    limit: ConcurrencyLimit,
+    limits: GroupLimits,
     /// Groups of the service's ranks.
     directory: Directory,
     /// Groups that were closed according to their latest loads, with the time of these.
@@ -70,10 +69,23 @@
 
 impl ServiceRouting {
     /// Lists the groups that are closed, so that none of their replicas can run requests.
-    fn list_closed(&self, now: Time) -> Vec<EngineGroup> {
+    fn list_closed(&self, now: Time) -> Vec<Option<EngineGroup>> {
         let closed = self.closed.iter();
         let closed = closed.filter(|(_, at)| now.since(**at) <= CLOSED_TTL);
-        closed.map(|(group, _)| group.clone()).collect()
+        closed.map(|(group, _)| Some(group.clone())).collect()
+    }
+
+    /// Counts an admitted request against the limit of another group than before.
+    fn move_permit(&mut self, permit: &mut AdmissionPermit, group: &Option<EngineGroup>) {
+        self.release(permit);
+        self.limits.of_group(group).acquire();
+        permit.counted = Some(group.clone());
+    }
+
+    fn release(&mut self, permit: &mut AdmissionPermit) {
+        if let Some(group) = permit.counted.take() {
+            self.limits.of_group(&group).release();
+        }
     }
 }
 
@@ -92,6 +104,8 @@
     pub id: AgentId,
     pub address: SocketAddr,
     pub service: ServiceName,
+    /// Lock-step group of the backend server, if it is known.
+    pub group: Option<EngineGroup>,
     /// Number of running and queued requests in the latest load report.
     pub load: u32,
     /// Age of that report in milliseconds.
@@ -259,7 +273,7 @@
                 budget: RetryBudget::new(RETRY_BURST.min(self.bounds.retry_slack))
                     .with_ratio(ratio),
                 liveness: LivenessTracker::default(),
-                limit: ConcurrencyLimit::default(),
+                limits: GroupLimits::default(),
                 directory: Directory::default(),
                 closed: BTreeMap::new(),
             };
@@ -271,27 +285,50 @@
     }
 
     /// Chooses a backend server and records an attempt as sent to it.
+    ///
+    /// With a permit the attempt counts against the concurrency limit of the server's group. A new
+    /// request goes to no group whose limit is reached; one that was admitted before may.
     pub fn choose(
         &mut self,
         service: &ServiceName,
         avoid: &[AgentId],
+        permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
         let routing = self.service(service);
+        let mut closed_groups = routing.list_closed(now);
+        let is_new = permit
+            .as_ref()
+            .is_some_and(|permit| permit.counted.is_none());
+        let full = match is_new {
+            true => routing
+                .limits
+                .list_full(|group| routing.picker.estimate_load(group)),
+            false => Vec::new(),
+        };
+        let is_limited = !full.is_empty();
+        closed_groups.extend(full);
         let requirements = Requirements {
             avoid: avoid.to_vec(),
-            closed_groups: routing.list_closed(now),
+            closed_groups,
             ..Requirements::default()
         };
-        let choice = routing
-            .picker
-            .choose(&requirements, now, &mut rand::rng())?;
+        let choice = routing.picker.choose(&requirements, now, &mut rand::rng());
+        let choice = choice.map_err(|reason| match is_limited {
+            true => Reason::ShareExceeded,
+            false => reason,
+        })?;
         routing.picker.record_dispatch(&choice.agent, now);
+        let group = routing.picker.find_group(&choice.agent).cloned();
+        if let Some(permit) = permit {
+            routing.move_permit(permit, &group);
+        }
         let replica = self.replicas.get(&choice.agent).ok_or(Reason::NoReplica)?;
         Ok(Target {
             id: choice.agent,
             address: replica.server.address,
             service: service.clone(),
+            group,
             load: replica.report.total(),
             report_age_ms: now.since(replica.reported_at).as_millis() as u64,
         })
@@ -373,17 +410,9 @@
         routing.map_or_else(Vec::new, |r| r.directory.list_load_sources(&self.zone))
     }
 
-    /// Returns the concurrency limit of a service.
-    pub fn concurrency_limit(&mut self, service: &ServiceName) -> &mut ConcurrencyLimit {
-        &mut self.service(service).limit
-    }
-
-    /// Admits a request unless its service has reached its concurrency limit. While slots are free,
-    /// late responses have other causes than overload, so the limit does not apply.
-    fn try_admit(&mut self, service: &ServiceName) -> bool {
-        let routing = self.service(service);
-        let has_capacity = routing.picker.estimate_load() < BUSY_UTILISATION;
-        routing.limit.try_acquire(has_capacity)
+    /// Returns the concurrency limit of the group of a target.
+    pub fn concurrency_limit(&mut self, target: &Target) -> &mut ConcurrencyLimit {
+        self.service(&target.service).limits.of_group(&target.group)
     }
 
     /// Records the loads of a group.
@@ -448,8 +477,8 @@
             ServiceState {
                 service: service.clone(),
                 servers: replicas().count(),
-                running: routing.limit.in_flight(),
-                limit: routing.limit.limit(),
+                running: routing.limits.in_flight(),
+                limit: routing.limits.total_limit(),
                 report_age: ages.fold(0.0, f64::max),
                 open: routing.list_closed(now).is_empty(),
             }
@@ -475,28 +504,30 @@
     }
 }
 
-/// Permit of an admitted request, which counts against its service's concurrency limit until
-/// dropped.
+/// Permit of a request, which counts against the concurrency limit of the group that runs it until
+/// dropped. It counts against none before the first attempt.
 pub(super) struct AdmissionPermit {
     gateway: Weak<Gateway>,
     service: ServiceName,
+    counted: Option<Option<EngineGroup>>,
 }
 
 impl AdmissionPermit {
-    /// Admits a request unless its service has reached its concurrency limit.
-    pub fn try_acquire(gateway: &Arc<Gateway>, service: &ServiceName) -> Option<AdmissionPermit> {
-        let admitted = gateway.fleet().try_admit(service);
-        admitted.then(|| AdmissionPermit {
+    /// Creates a permit of a request for which no backend server has been chosen.
+    pub fn new(gateway: &Arc<Gateway>, service: &ServiceName) -> AdmissionPermit {
+        AdmissionPermit {
             gateway: Arc::downgrade(gateway),
             service: service.clone(),
-        })
+            counted: None,
+        }
     }
 }
 
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         if let Some(gateway) = self.gateway.upgrade() {
-            gateway.fleet().concurrency_limit(&self.service).release();
+            let service = self.service.clone();
+            gateway.fleet().service(&service).release(self);
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -52,7 +52,7 @@
     /// Time of the latest data from a backend server.
     last_data_at: Option<Time>,
     is_finished: bool,
-    _permit: AdmissionPermit,
+    permit: AdmissionPermit,
 }
 
 /// Next part of a stream.
@@ -66,15 +66,13 @@
 
 /// Serves a stream request.
 pub(super) async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<Body> {
-    let Some(permit) = AdmissionPermit::try_acquire(gateway, &call.service) else {
-        return refuse(gateway, &call, NextStep::Refuse(Reason::ShareExceeded));
-    };
+    let mut permit = AdmissionPermit::new(gateway, &call.service);
     let is_retryable = call.route.kind.is_retryable();
     let mut attempts = DirectAttempts::new(is_retryable, call.route.max_attempts, call.deadline);
     let pending = loop {
         let last_event = call.head.last_event.clone();
-        let (target, failure) = match send_attempt(gateway, &call, &mut attempts, last_event).await
-        {
+        let sent = send_attempt(gateway, &call, &mut attempts, Some(&mut permit), last_event);
+        let (target, failure) = match sent.await {
             Err(reason) => return refuse(gateway, &call, attempts.give_up(reason)),
             Ok(Ok(pending)) if pending.response.status().is_success() => break pending,
             Ok(Ok(pending)) => match buffered::forward_error(gateway, &call, pending).await {
@@ -116,7 +114,7 @@
         has_first_event: false,
         last_data_at: None,
         is_finished: false,
-        _permit: permit,
+        permit,
     };
     let frames = unfold(relay, |mut relay| async move {
         let part = relay.next().await?;
@@ -220,7 +218,7 @@
     fn record_latency(&mut self, now: Time) {
         let route = &self.call.route;
         let mut fleet = self.gateway.fleet();
-        let limit = fleet.concurrency_limit(&self.call.service);
+        let limit = fleet.concurrency_limit(&self.attempt.target);
         match self.last_data_at.replace(now) {
             None => {
                 let goal = route.latency_goal.mul_f64(GOAL_FRACTION).as_secs_f64();
@@ -230,6 +228,7 @@
                 if let Some(change) = limit.record_answer(goal_ratio, self.call.received_at, now) {
                     log::info!(
                         service:% = self.call.service,
+                        group:% = self.attempt.target.group.as_ref().map(ToString::to_string).unwrap_or_default(),
                         most = change.limit.unwrap_or(0),
                         peak = change.peak,
                         late = format!("{:.2}", change.late_share),
@@ -283,24 +282,28 @@
                 cause:% = cause;
                 "stream_resumed"
             );
-            let (target, failure) =
-                match send_attempt(&self.gateway, &self.call, &mut self.attempts, last_event)
-                    .await?
-                {
-                    Ok(pending) if pending.response.status().is_success() => {
-                        self.attempt = pending.attempt;
-                        self.connection = Some(pending.connection);
-                        self.body = pending.response.into_body();
-                        // The first event after a resume is no measure of latency for new requests.
-                        self.has_first_event = true;
-                        return Ok(());
-                    }
-                    Ok(mut pending) => {
-                        pending.attempt.finish(AttemptResult::Failed);
-                        (pending.attempt.target.clone(), AttemptFailure::Failed)
-                    }
-                    Err(failed) => (failed.attempt.target.clone(), failed.failure),
-                };
+            let sent = send_attempt(
+                &self.gateway,
+                &self.call,
+                &mut self.attempts,
+                Some(&mut self.permit),
+                last_event,
+            );
+            let (target, failure) = match sent.await? {
+                Ok(pending) if pending.response.status().is_success() => {
+                    self.attempt = pending.attempt;
+                    self.connection = Some(pending.connection);
+                    self.body = pending.response.into_body();
+                    // The first event after a resume is no measure of latency for new requests.
+                    self.has_first_event = true;
+                    return Ok(());
+                }
+                Ok(mut pending) => {
+                    pending.attempt.finish(AttemptResult::Failed);
+                    (pending.attempt.target.clone(), AttemptFailure::Failed)
+                }
+                Err(failed) => (failed.attempt.target.clone(), failed.failure),
+            };
             self.check_retry(&target, failure)?;
             cause = failure.reason();
         }
--- a/tests/integration/group_choice.rs
+++ b/tests/integration/group_choice.rs
@@ -2,6 +2,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use siskinbend_routing::GroupLimits;
 use siskinbend_routing::Observation;
 use siskinbend_routing::Picker;
 use siskinbend_routing::PolicyKind;
@@ -53,7 +54,7 @@
 fn closed_group_is_skipped() {
     let mut picker = groups(|_, _| 1.0);
     let requirements = Requirements {
-        closed_groups: vec![group(1)],
+        closed_groups: vec![Some(group(1))],
         ..Requirements::default()
     };
     let received = send_requests(&mut picker, &requirements, 600);
@@ -68,7 +69,7 @@
 fn closed_groups_refuse() {
     let mut picker = groups(|_, _| 1.0);
     let requirements = Requirements {
-        closed_groups: (0..GROUPS).map(group).collect(),
+        closed_groups: (0..GROUPS).map(|n| Some(group(n))).collect(),
         ..Requirements::default()
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -117,3 +118,30 @@
     let sums: Vec<usize> = received.chunks(RANKS).map(|r| r.iter().sum()).collect();
     assert!(sums[0] < sums[1] && sums[0] < sums[2], "{sums:?}");
 }
+
+/// Records answers, from a time on, that take `ratio` times their goal until the limit reacts.
+fn record_answers(limits: &mut GroupLimits, group: &Option<EngineGroup>, ratio: f64, from_ms: u64) {
+    for n in 1..=20 {
+        let now = Time::from_millis(from_ms + 100 * n);
+        limits.of_group(group).record_answer(ratio, now, now);
+    }
+}
+
+/// Guards against refusals because one group is late: the others take its requests, and only when
+/// all are full is a request refused.
+#[test]
+fn late_group_sheds_alone() {
+    let mut limits = GroupLimits::default();
+    let groups: Vec<Option<EngineGroup>> = (0..GROUPS).map(|n| Some(group(n))).collect();
+    for group in &groups {
+        (0..40).for_each(|_| limits.of_group(group).acquire());
+    }
+    record_answers(&mut limits, &groups[0], 2.0, 0);
+    record_answers(&mut limits, &groups[1], 0.5, 0);
+    assert_eq!(limits.list_full(|_| 0.9), [groups[0].clone()]);
+    assert!(limits.list_full(|_| 0.3).is_empty(), "slots are free");
+    record_answers(&mut limits, &groups[1], 2.0, 3_000);
+    record_answers(&mut limits, &groups[2], 2.0, 3_000);
+    assert_eq!(limits.list_full(|_| 0.9), groups);
+    assert_eq!(limits.in_flight(), 120);
+}
