Shorten switches and plan only when a plan can pay

The pass to hold was chosen by a state that may be as old as the copies, ranks were polled every 60 ms, and the distance of the held pass assumed 60 ms for orders that take 27.

Change: when all ranks are prepared, the rank that holds is read once more; the distance of the pass follows the time of the previous orders; polls come every 30 ms; after a rejected plan the next one waits for a higher skew or 600 ms. The registry is read early only if it lists too few ranks, not while the groups of registered ranks are unknown.

Tests: hold_follows_the_current_pass, lead_follows_order_time, rejected_plans_pause.

--- a/crates/groups/src/orders.rs
+++ b/crates/groups/src/orders.rs
@@ -20,8 +20,8 @@
 use siskinbend_site::engine::Task;
 use siskinbend_types::Time;
 
-/// Time that the orders of a switch normally take after the hold. The held pass is chosen to begin
-/// later than that, so that the hold blocks nothing.
+/// Time that the orders of a switch take after the hold if no switch was measured. The held pass is
+/// chosen to begin later than that, so that the hold blocks nothing.
 const ORDERS_DURATION: Duration = Duration::from_millis(60);
 /// The same if orders time out and have to be repeated.
 const RETRIED_ORDERS_DURATION: Duration = Duration::from_millis(300);
@@ -118,13 +118,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Preparing,
-    Holding { step: u64, attempts: u32 },
-    Arming { step: u64 },
-    Releasing { step: u64 },
+    /// All ranks are prepared; the rank that holds is read once more for its current pass.
+    Choosing,
+    Holding {
+        step: u64,
+        attempts: u32,
+    },
+    Arming {
+        step: u64,
+    },
+    Releasing {
+        step: u64,
+    },
 }
 
 /// Parameters of a switch.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct SwitchTarget {
     /// The coordinator's own rank.
     pub own_rank: usize,
@@ -138,6 +147,8 @@
     /// The held pass must come after this one. It is the last pass that this coordinator held, but
     /// at least [`MAX_LEAD_PASSES`] beyond the pass at which it first saw the group.
     pub after_pass: u64,
+    /// Time that the orders of the previous switch took after its hold; `None` if none was measured.
+    pub order_time: Option<Duration>,
 }
 
 /// One switch of a group to a new map.
@@ -159,6 +170,8 @@
     hold_sent: Time,
     /// Whether the rank has confirmed that order.
     is_hold_confirmed: bool,
+    /// Time from the confirmed hold until all ranks were armed.
+    order_time: Option<Duration>,
     /// Whether an order of this switch was not answered.
     has_unanswered: bool,
     /// The current pass when the switch began.
@@ -179,6 +192,7 @@
             armed: vec![false; size],
             hold_sent: now,
             is_hold_confirmed: false,
+            order_time: None,
             has_unanswered: false,
             first: None,
         }
@@ -205,22 +219,34 @@
     /// order. The pass to hold is chosen by the current pass of the rank that holds it.
     pub fn needs_read(&self, rank: usize) -> bool {
         match self.phase {
-            Phase::Preparing => !self.ready[rank] || rank == self.holder,
+            Phase::Preparing => !self.ready[rank],
             Phase::Arming { .. } => !self.armed[rank],
-            Phase::Holding { .. } | Phase::Releasing { .. } => rank == self.holder,
+            Phase::Choosing | Phase::Holding { .. } | Phase::Releasing { .. } => {
+                rank == self.holder
+            }
         }
     }
 
     /// The pass that is or was held, if any.
     pub fn held_pass(&self) -> Option<u64> {
         match self.phase {
-            Phase::Preparing => None,
+            Phase::Preparing | Phase::Choosing => None,
             Phase::Holding { step, .. } | Phase::Arming { step } | Phase::Releasing { step } => {
                 Some(step)
             }
         }
     }
 
+    /// Whether all ranks have prepared the map, so that the remaining orders are due without delay.
+    pub fn is_prepared(&self) -> bool {
+        self.phase != Phase::Preparing
+    }
+
+    /// Time that the orders took after the hold, once all ranks are armed.
+    pub fn order_time(&self) -> Option<Duration> {
+        self.order_time
+    }
+
     /// Determines the next orders from the states of the ranks, all read after the last round of
     /// orders. `None` stands for a rank that could not be read.
     pub fn advance(&mut self, states: &[Option<RankState>], now: Time) -> Round {
@@ -235,8 +261,9 @@
         }
         match self.phase {
             Phase::Preparing => self.prepare(states, now),
+            Phase::Choosing => self.choose_pass(states, 0, now),
             Phase::Holding { step, attempts } => self.hold(states, step, attempts, now),
-            Phase::Arming { step } => self.arm(states, step),
+            Phase::Arming { step } => self.arm(states, step, now),
             Phase::Releasing { step } => self.release(states, step),
         }
     }
@@ -264,7 +291,9 @@
             }
         }
         if self.ready.iter().all(|ready| *ready) {
-            return self.choose_pass(states, 0, now);
+            // The state of the rank that holds may be as old as the copies of the others took.
+            self.phase = Phase::Choosing;
+            return Round::default();
         }
         if now.since(self.started) > PREPARE_TIMEOUT {
             return Round::end(EndReason::Abandoned);
@@ -279,7 +308,7 @@
         let pass = now.since(self.started).as_secs_f64() / passes.max(1) as f64;
         let time = match self.has_unanswered {
             true => RETRIED_ORDERS_DURATION,
-            false => ORDERS_DURATION,
+            false => self.target.order_time.unwrap_or(ORDERS_DURATION),
         };
         // The current pass may end at any moment.
         let lead = (time.as_secs_f64() / pass.max(f64::MIN_POSITIVE)).ceil() + 1.0;
@@ -315,7 +344,7 @@
         };
         if holder.held == Some(step) {
             self.phase = Phase::Arming { step };
-            return self.arm(states, step);
+            return self.arm(states, step, now);
         }
         if holder.step >= step {
             return self.choose_pass(states, attempts + 1, now);
@@ -326,7 +355,7 @@
         self.send_hold(step, now)
     }
 
-    fn arm(&mut self, states: &[Option<RankState>], step: u64) -> Round {
+    fn arm(&mut self, states: &[Option<RankState>], step: u64, now: Time) -> Round {
         let version = self.target.version;
         let wanted = Armed { version, step };
         let mut round = Round::default();
@@ -348,6 +377,7 @@
             return round;
         }
         self.phase = Phase::Releasing { step };
+        self.order_time = Some(now.since(self.hold_sent));
         self.release(states, step)
     }
 
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use siskinbend_placement::even_split::Limits;
+use siskinbend_placement::plan_gate::PlanGate;
 use siskinbend_placement::recent_demand::RecentDemand;
 use siskinbend_site::engine::Placement;
 use siskinbend_site::engine::RankState;
@@ -90,6 +91,10 @@
     held_since: Option<Time>,
     /// Recent demand for the experts.
     pub demand: RecentDemand,
+    /// Whether a new plan can be worth its processor time.
+    pub plan_gate: PlanGate,
+    /// Time that the orders of the latest switch took after its hold.
+    pub order_time: Option<Duration>,
 }
 
 fn elapsed_ms(since: Time, now: Time) -> u32 {
@@ -116,6 +121,8 @@
             limits: None,
             held_since: None,
             demand: RecentDemand::new(Default::default()),
+            plan_gate: PlanGate::default(),
+            order_time: None,
         }
     }
 
@@ -259,6 +266,15 @@
         self.registered.contains_key(&self.own) && self.size > 0 && known >= self.size
     }
 
+    /// Whether the registry has to be read again soon: it lists too few ranks for the group to be
+    /// complete, even if all ranks whose group is unknown belong to it.
+    pub fn lacks_registrations(&self) -> bool {
+        let is_registered = |rank: &&SocketAddr| self.registered.contains_key(*rank);
+        let known = self.members.iter().filter(is_registered).count();
+        let possible = known + self.list_unidentified().len();
+        !self.registered.contains_key(&self.own) || self.size == 0 || possible < self.size
+    }
+
     fn is_candidate(&self, rank: &SocketAddr, now: Time) -> bool {
         let since = self.unresponsive.get(rank);
         since.is_none_or(|since| now.since(*since) > UNRESPONSIVE_COOLDOWN)
--- a/crates/placement/src/even_split.rs
+++ b/crates/placement/src/even_split.rs
@@ -85,32 +85,44 @@
 }
 
 struct SetDraft<'demand> {
-    demand: &'demand [f64],
+    /// Tokens of each expert as a multiple of the mean load.
+    demand: Vec<f64>,
     map: SetMap,
     holders: Vec<Vec<usize>>,
-    /// Time that each rank needs for its tokens, in tokens of a rank with a slowdown of 1.
+    /// Time that each rank needs for its tokens, as a multiple of the mean load.
     loads: Vec<f64>,
-    slowdowns: &'demand [f64],
-    /// Sum over the ranks of (load / mean load) ^ [`OBJECTIVE_POWER`].
-    objective: f64,
+    /// Each load to the power of [`OBJECTIVE_POWER`]; their sum is the objective.
+    powers: Vec<f64>,
+    slowdowns: Vec<f64>,
     /// Number of experts on each rank that were not there in the initial map.
     new_experts: Vec<usize>,
     initial: &'demand SetMap,
-    mean: f64,
+}
+
+/// Changes of the loads of a few ranks.
+#[derive(Debug, Default)]
+struct LoadChanges(Vec<(usize, f64)>);
+
+impl LoadChanges {
+    fn add(&mut self, rank: usize, load: f64) {
+        match self.0.iter_mut().find(|(other, _)| *other == rank) {
+            Some((_, sum)) => *sum += load,
+            None => self.0.push((rank, load)),
+        }
+    }
 }
 
 /// Maximum load over mean load. `slowdowns` holds the time that each rank needs for the same work,
 /// as a multiple of the normal time.
 pub fn compute_skew(demand: &[f64], slowdowns: &[f64], map: &SetMap) -> f64 {
-    let draft = SetDraft::new(demand, slowdowns, map);
-    draft.max_load() / draft.mean
+    SetDraft::new(demand, slowdowns, map).max_load()
 }
 
 /// Plans one set. `demand` holds the tokens of each expert, `slowdowns` the time that each rank
 /// needs for the same work, as a multiple of the normal time.
 pub fn plan_set(demand: &[f64], slowdowns: &[f64], map: &SetMap, limits: &Limits) -> Plan {
     let mut draft = SetDraft::new(demand, slowdowns, map);
-    let before = draft.max_load() / draft.mean;
+    let before = draft.max_load();
     let mut best = (draft.map.clone(), before, 0);
     if before - EVEN_SKEW < limits.min_gain {
         return Plan {
@@ -128,7 +140,7 @@
         };
         iterations += 1;
         draft.apply(&change);
-        let now = draft.max_load() / draft.mean;
+        let now = draft.max_load();
         let copies = draft.count_copies();
         let required = limits.min_gain * copies.saturating_sub(best.2) as f64;
         let gained = best.1 - now;
@@ -157,7 +169,7 @@
 }
 
 impl<'demand> SetDraft<'demand> {
-    fn new(demand: &'demand [f64], slowdowns: &'demand [f64], map: &'demand SetMap) -> Self {
+    fn new(demand: &[f64], slowdowns: &[f64], map: &'demand SetMap) -> Self {
         let mut holders = vec![Vec::new(); demand.len()];
         for (rank, experts) in map.iter().enumerate() {
             for expert in experts {
@@ -165,50 +177,41 @@
             }
         }
         assert_eq!(slowdowns.len(), map.len(), "one slowdown per rank");
+        let slowdowns: Vec<f64> = slowdowns.iter().map(|s| s.max(MIN_SLOWDOWN)).collect();
         let total: f64 = demand.iter().sum();
-        let speed: f64 = slowdowns
-            .iter()
-            .map(|slowdown| 1.0 / slowdown.max(MIN_SLOWDOWN))
-            .sum();
+        let speed: f64 = slowdowns.iter().map(|slowdown| 1.0 / slowdown).sum();
+        let mean = (total / speed.max(MIN_SLOWDOWN)).max(f64::MIN_POSITIVE);
         let mut draft = SetDraft {
-            demand,
+            demand: demand.iter().map(|tokens| tokens / mean).collect(),
             map: map.clone(),
             holders,
             loads: vec![0.0; map.len()],
+            powers: vec![0.0; map.len()],
             new_experts: vec![0; map.len()],
             initial: map,
             slowdowns,
-            objective: 0.0,
-            mean: (total / speed.max(MIN_SLOWDOWN)).max(f64::MIN_POSITIVE),
         };
-        for expert in 0..demand.len() {
-            draft.add_loads(expert, 1.0);
-        }
+        draft.recompute_loads();
         draft
     }
 
-    /// Adds the load of an expert to its ranks, or subtracts it with a sign of -1.
-    fn add_loads(&mut self, expert: usize, sign: f64) {
-        let share = self.demand[expert] / self.holders[expert].len().max(1) as f64;
-        for rank in &self.holders[expert] {
-            let load = &mut self.loads[*rank];
-            self.objective -= (*load / self.mean).powi(OBJECTIVE_POWER);
-            *load += sign * share * self.slowdowns[*rank].max(MIN_SLOWDOWN);
-            self.objective += (*load / self.mean).powi(OBJECTIVE_POWER);
+    /// Recomputes the loads from the map, so that rounding errors of many changes don't accumulate.
+    fn recompute_loads(&mut self) {
+        self.loads.fill(0.0);
+        for (demand, holders) in self.demand.iter().zip(&self.holders) {
+            let share = demand / holders.len().max(1) as f64;
+            for rank in holders {
+                self.loads[*rank] += share * self.slowdowns[*rank];
+            }
         }
+        let power = |load: &f64| load.powi(OBJECTIVE_POWER);
+        self.powers = self.loads.iter().map(power).collect();
     }
 
     fn max_load(&self) -> f64 {
         self.loads.iter().copied().fold(0.0, f64::max)
     }
 
-    /// Recomputes the objective from the loads, so that rounding errors of many evaluations don't
-    /// accumulate.
-    fn recompute_objective(&mut self) {
-        let part = |load: &f64| (load / self.mean).powi(OBJECTIVE_POWER);
-        self.objective = self.loads.iter().map(part).sum();
-    }
-
     /// Number of experts on all ranks that were not there in the initial map.
     fn count_copies(&self) -> usize {
         self.new_experts.iter().sum()
@@ -221,16 +224,20 @@
     }
 
     /// The change with the highest improvement of the objective per copy.
-    fn find_change(&mut self, limits: &Limits) -> Option<Change> {
+    fn find_change(&self, limits: &Limits) -> Option<Change> {
         let order = self.sort_ranks();
-        self.recompute_objective();
-        let base = self.objective;
+        let base: f64 = self.powers.iter().sum();
         let mut best: Option<(f64, Change)> = None;
+        let mut changes = Vec::new();
+        let mut loads = LoadChanges::default();
         for hot in order.iter().take(HOT_RANKS).copied() {
             for expert in self.list_hottest(hot) {
                 for cold in order.iter().rev().take(COLD_RANKS).copied() {
-                    for change in self.list_changes(expert, hot, cold, limits) {
-                        let gain = (base - self.evaluate_change(&change)) / change.copies() as f64;
+                    changes.clear();
+                    self.list_changes(expert, hot, cold, limits, &mut changes);
+                    for change in changes.iter().copied() {
+                        let improvement = self.evaluate_change(&change, &mut loads);
+                        let gain = improvement / change.copies() as f64;
                         let better = best.as_ref().is_none_or(|(best_gain, _)| gain > *best_gain);
                         if gain > base * MIN_PROGRESS && better {
                             best = Some((gain, change));
@@ -253,11 +260,17 @@
         experts
     }
 
-    fn list_changes(&self, expert: u16, hot: usize, cold: usize, limits: &Limits) -> Vec<Change> {
-        let mut changes = Vec::new();
+    fn list_changes(
+        &self,
+        expert: u16,
+        hot: usize,
+        cold: usize,
+        limits: &Limits,
+        changes: &mut Vec<Change>,
+    ) {
         let has = self.map[cold].contains(&expert);
         if hot == cold || has || !self.may_copy(cold, expert, limits) {
-            return changes;
+            return;
         }
         let change = Change {
             expert,
@@ -291,42 +304,49 @@
                 });
             }
         }
-        changes
     }
 
     fn may_copy(&self, rank: usize, expert: u16, limits: &Limits) -> bool {
         self.initial[rank].contains(&expert) || self.new_experts[rank] < limits.max_copies
     }
 
-    /// Returns the objective after a change. The draft is left unchanged.
-    fn evaluate_change(&mut self, change: &Change) -> f64 {
-        self.move_loads(change, false);
-        let value = self.objective;
-        self.move_loads(change, true);
-        value
-    }
-
-    fn move_loads(&mut self, change: &Change, undo: bool) {
-        let expert = usize::from(change.expert);
-        self.add_loads(expert, -1.0);
-        relocate(
-            &mut self.holders[expert],
-            change.from,
-            Some(change.to),
-            undo,
-        );
-        self.add_loads(expert, 1.0);
+    /// Returns by how much a change lowers the objective. `loads` is only working memory.
+    fn evaluate_change(&self, change: &Change, loads: &mut LoadChanges) -> f64 {
+        loads.0.clear();
+        self.shift_load(change.expert, change.from, Some(change.to), loads);
         if let Some(other) = change.evicted {
-            let other = usize::from(other);
             let target = change.from.filter(|_| change.swaps);
-            self.add_loads(other, -1.0);
-            relocate(&mut self.holders[other], Some(change.to), target, undo);
-            self.add_loads(other, 1.0);
+            self.shift_load(other, Some(change.to), target, loads);
+        }
+        let improvement = |(rank, load): &(usize, f64)| {
+            self.powers[*rank] - (self.loads[*rank] + load).powi(OBJECTIVE_POWER)
+        };
+        loads.0.iter().map(improvement).sum()
+    }
+
+    /// Adds the changes of loads if an expert leaves one rank and joins another.
+    fn shift_load(
+        &self,
+        expert: u16,
+        from: Option<usize>,
+        to: Option<usize>,
+        loads: &mut LoadChanges,
+    ) {
+        let demand = self.demand[usize::from(expert)];
+        let holders = &self.holders[usize::from(expert)];
+        let count = holders.len() + usize::from(to.is_some()) - usize::from(from.is_some());
+        let old = demand / holders.len().max(1) as f64;
+        let new = demand / count.max(1) as f64;
+        for rank in holders {
+            let share = if from == Some(*rank) { -old } else { new - old };
+            loads.add(*rank, share * self.slowdowns[*rank]);
+        }
+        if let Some(rank) = to {
+            loads.add(rank, new * self.slowdowns[rank]);
         }
     }
 
     fn apply(&mut self, change: &Change) {
-        self.move_loads(change, false);
         if let Some(from) = change.from {
             self.remove(from, change.expert);
         }
@@ -337,11 +357,13 @@
             }
         }
         self.insert(change.to, change.expert);
+        self.recompute_loads();
     }
 
     fn insert(&mut self, rank: usize, expert: u16) {
         self.map[rank].push(expert);
         self.map[rank].sort_unstable();
+        self.holders[usize::from(expert)].push(rank);
         if !self.initial[rank].contains(&expert) {
             self.new_experts[rank] += 1;
         }
@@ -349,19 +371,9 @@
 
     fn remove(&mut self, rank: usize, expert: u16) {
         self.map[rank].retain(|e| *e != expert);
+        self.holders[usize::from(expert)].retain(|holder| *holder != rank);
         if !self.initial[rank].contains(&expert) {
             self.new_experts[rank] -= 1;
         }
     }
 }
-
-/// Replaces one holder by another, or undoes the replacement.
-fn relocate(holders: &mut Vec<usize>, from: Option<usize>, to: Option<usize>, undo: bool) {
-    let (from, to) = if undo { (to, from) } else { (from, to) };
-    if let Some(from) = from {
-        holders.retain(|rank| *rank != from);
-    }
-    if let Some(to) = to {
-        holders.push(to);
-    }
-}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod explanation;
 pub mod map;
 pub mod packing;
+pub mod plan_gate;
 pub mod policy;
 mod priced;
 pub mod recent_demand;
--- a/src/rank_agent/leader.rs
+++ b/src/rank_agent/leader.rs
@@ -24,6 +24,7 @@
 use siskinbend_placement::even_split::MIN_SWITCH_GAIN;
 use siskinbend_placement::even_split::Plan;
 use siskinbend_placement::even_split::compute_mean_skews;
+use siskinbend_placement::even_split::compute_skew;
 use siskinbend_placement::even_split::plan_set;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
@@ -37,7 +38,7 @@
 use super::relay::MapBase;
 
 /// Interval at which ranks that copy experts are polled.
-const COPY_POLL_INTERVAL: Duration = Duration::from_millis(60);
+const COPY_POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Interval at which ranks are polled while a pass may be held.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// Interval at which a rank that is about to switch is polled.
@@ -218,10 +219,17 @@
     };
     let sets = group.map.len();
     let experts = demand.len() / sets.max(1);
+    let slowdowns: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
+    let skews = group.map.iter().enumerate().map(|(set, current)| {
+        compute_skew(&demand[set * experts..][..experts], &slowdowns, current)
+    });
+    let skew = skews.sum::<f64>() / sets.max(1) as f64;
+    if !agent.group_view().plan_gate.is_plan_due(skew, now) {
+        return;
+    }
     let Some(limits) = load_limits(agent, now).await else {
         return;
     };
-    let slowdowns: Vec<f64> = group.states.iter().map(|s| s.pace).collect();
     let plans: Vec<Plan> = group
         .map
         .iter()
@@ -233,6 +241,7 @@
         .collect();
     let (before, after) = compute_mean_skews(&plans);
     if before - after < MIN_SWITCH_GAIN {
+        agent.group_view().plan_gate.record_rejected(after, now);
         return;
     }
     let copies: usize = plans.iter().map(|plan| plan.copies).sum();
@@ -252,6 +261,7 @@
         version: generate_version(&group.states, own, rand::random()),
         map,
         after_pass: floor,
+        order_time: agent.group_view().order_time,
     };
     let version = target.version;
     log::info!(
@@ -267,6 +277,9 @@
     if let Some(pass) = switch.held_pass() {
         agent.group_view().record_hold(pass);
     }
+    if let Some(time) = switch.order_time() {
+        agent.group_view().order_time = Some(time);
+    }
     let took = agent.now().since(now).as_millis() as u64;
     log::info!(version, outcome:% = describe_outcome(ended), took_ms = took; "switch_ended");
     if ended == Some(EndReason::Switched) {
@@ -382,7 +395,7 @@
     /// Whether a rank must be read again before the next round.
     fn needs_read(&self, rank: usize) -> bool;
 
-    /// Whether a pass may be held until the procedure ends.
+    /// Whether the next round is due at once, because the map is waiting or a pass may be held.
     fn is_urgent(&self) -> bool;
 }
 
@@ -400,7 +413,7 @@
     }
 
     fn is_urgent(&self) -> bool {
-        self.held_pass().is_some()
+        self.is_prepared()
     }
 }
 
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -154,7 +154,7 @@
     while waited < REGISTRY_INTERVAL {
         tokio::time::sleep(INCOMPLETE_REGISTRY_INTERVAL).await;
         waited += INCOMPLETE_REGISTRY_INTERVAL;
-        if !agent.group_view().is_complete() {
+        if agent.group_view().lacks_registrations() {
             return;
         }
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -34,6 +34,7 @@
 mod partition;
 mod placement;
 mod placement_counts;
+mod plan_gate;
 mod platform_formats;
 mod platform_outage;
 mod promotion;
--- a/tests/integration/map_orders.rs
+++ b/tests/integration/map_orders.rs
@@ -2,6 +2,8 @@
 //! late, lost and repeated orders, frozen and killed coordinators, and several concurrent
 //! coordinators.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -287,6 +289,7 @@
             version,
             map: Vec::new(),
             after_pass: floor,
+            ..SwitchTarget::default()
         };
         self.work = Work::Switch(Box::new(Switch::new(target, RANKS, now)));
         Round::default()
@@ -477,14 +480,18 @@
 }
 
 /// A switch to version 7 and its hold order, after its preparation took 120 ms and `passes` passes.
-/// `reply` is what one rank answers to the prepare order.
-fn prepare_switch(passes: u64, reply: OrderReply) -> (Switch, usize, Order) {
+/// `reply` is what one rank answers to the prepare order, `order_time` what the orders of the switch
+/// before took.
+fn prepare_switch(
+    passes: u64,
+    reply: OrderReply,
+    order_time: Option<Duration>,
+) -> (Switch, usize, Order) {
     let target = SwitchTarget {
-        own_rank: 0,
         epoch: 1,
         version: 7,
-        map: Vec::new(),
-        after_pass: 0,
+        order_time,
+        ..SwitchTarget::default()
     };
     let mut switch = Switch::new(target, RANKS, Time::default());
     let round = switch.advance(&read_group(40, None), Time::default());
@@ -492,40 +499,53 @@
         let answer = if rank == 2 { reply } else { OrderReply::Begun };
         switch.record_reply(rank, &order, answer);
     }
+    // The state of a rank that was prepared early shows an earlier pass.
+    let round = switch.advance(&read_group(40, Some(7)), Time::from_millis(120));
+    assert_eq!(
+        round,
+        Round::default(),
+        "the pass is not chosen by an old state"
+    );
+    let read: Vec<usize> = (0..RANKS).filter(|rank| switch.needs_read(*rank)).collect();
     let states = read_group(40 + passes, Some(7));
     let round = switch.advance(&states, Time::from_millis(120));
     let (holder, order) = round.orders.into_iter().next().expect("a hold order");
+    assert_eq!(read, [holder], "only the rank that holds is read");
     (switch, holder, order)
 }
 
 /// The lead that a switch chooses for the held pass.
 fn choose_lead(passes: u64, reply: OrderReply) -> u64 {
-    match prepare_switch(passes, reply).2.task {
+    match prepare_switch(passes, reply, None).2.task {
         Task::Hold { step: held } => held - (40 + passes),
         task => panic!("no hold: {task:?}"),
     }
 }
 
-/// Guards against a hold of a pass that has begun: a rank that was prepared early is still read until
-/// the pass is chosen.
+/// Guards against a hold of a pass that has begun, and is refused, because the rank was prepared
+/// long before the others: its pass is read again when all are prepared.
 #[test]
 fn hold_follows_the_current_pass() {
-    let mut switch = prepare_switch(2, OrderReply::Begun).0;
-    let target = SwitchTarget {
-        own_rank: 0,
-        epoch: 1,
-        version: 7,
-        map: Vec::new(),
-        after_pass: 0,
+    let (_, _, order) = prepare_switch(20, OrderReply::Begun, None);
+    let Task::Hold { step } = order.task else {
+        panic!("no hold: {order:?}");
+    };
+    assert!(step > 60, "pass {step} has begun");
+}
+
+/// Guards against maps that wait for passes although the orders are quick, and against holds that
+/// stop a group whose orders are slow: the held pass begins after the time that orders took before.
+#[test]
+fn lead_follows_order_time() {
+    let find_lead = |order_ms: u64| {
+        let time = Duration::from_millis(order_ms);
+        match prepare_switch(4, OrderReply::Begun, Some(time)).2.task {
+            Task::Hold { step } => step - 44,
+            task => panic!("no hold: {task:?}"),
+        }
     };
-    let holder = (0..RANKS).find(|rank| switch.needs_read(*rank));
-    let holder = holder.expect("the holder is read while the pass is held");
-    switch = Switch::new(target, RANKS, Time::default());
-    let mut states = read_group(40, None);
-    states[holder] = read_group(40, Some(7))[holder].clone();
-    let round = switch.advance(&states, Time::default());
-    assert!(round.orders.iter().all(|(rank, _)| *rank != holder));
-    assert!(switch.needs_read(holder), "its pass may be over by now");
+    assert_eq!(find_lead(25), 2, "one pass of 30 ms and the current one");
+    assert_eq!(find_lead(80), 4, "three passes and the current one");
 }
 
 /// Guards against holds that the rank refuses because it has the same hold already: a confirmed hold
@@ -533,7 +553,7 @@
 #[test]
 fn confirmed_hold_is_not_repeated() {
     let states = read_group(42, Some(7));
-    let (mut switch, holder, order) = prepare_switch(2, OrderReply::Begun);
+    let (mut switch, holder, order) = prepare_switch(2, OrderReply::Begun, None);
     switch.record_reply(holder, &order, OrderReply::Begun);
     let early = switch.advance(&states, Time::from_millis(130));
     assert_eq!(early.orders, [], "the state may be older than the reply");
