Show the log of a gateway that does not become ready in its test

Cause: gateway_shell::disconnected_callers_cancel_work failed once beside other tests with a gateway that was not ready after 20 s, and one run of the tests ended with SIGABRT; neither run kept the output that would explain it.

Change: the processes under test write their output to files, and a gateway that does not become ready is reported with its exit status and its log. The check is the same.

--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -38,7 +38,11 @@
 static SETTINGS_FILES: AtomicU32 = AtomicU32::new(0);
 
 /// A process under test; it is killed if the test ends early.
-struct Process(Child);
+struct Process {
+    child: Child,
+    /// File that its log lines are written to.
+    log: PathBuf,
+}
 
 impl Process {
     fn start(role: &str, settings: &str) -> Process {
@@ -46,17 +50,30 @@
         let name = format!("siskinbend-gateway-{}-{number}.conf", std::process::id());
         let file: PathBuf = std::env::temp_dir().join(name);
         std::fs::write(&file, settings).expect("a settings file");
+        let log = file.with_extension("log");
+        let output = std::fs::File::create(&log).expect("a log file");
         let child = Command::new(env!("CARGO_BIN_EXE_siskinbend"))
             .arg(role)
             .arg("--settings")
             .arg(&file)
-            .stdout(std::process::Stdio::null())
+            .stderr(output.try_clone().expect("a second handle"))
+            .stdout(output)
             .spawn();
-        Process(child.expect("the binary starts"))
+        Process {
+            child: child.expect("the binary starts"),
+            log,
+        }
+    }
+
+    /// Returns whether the process still runs, and its log lines, to explain a failure.
+    fn describe(&mut self) -> String {
+        let status = self.child.try_wait();
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        format!("status {status:?}, log:\n{log}")
     }
 
     fn signal(&self, name: &str) {
-        let id = self.0.id().to_string();
+        let id = self.child.id().to_string();
         let sent = Command::new("kill").args(["-s", name, &id]).status();
         assert!(sent.expect("kill runs").success());
     }
@@ -64,7 +81,7 @@
     async fn wait(&mut self) -> ExitStatus {
         let started = Instant::now();
         loop {
-            if let Some(status) = self.0.try_wait().expect("a child") {
+            if let Some(status) = self.child.try_wait().expect("a child") {
                 return status;
             }
             assert!(
@@ -79,8 +96,8 @@
 impl Drop for Process {
     fn drop(&mut self) {
         // The process may have exited already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -109,10 +126,10 @@
             ready,
             metrics_port: metrics.port(),
         };
-        let gateway = Process::start("gateway", &site.gateway_settings(1, &ports));
-        wait_until_ready(ready, READY_TIMEOUT)
-            .await
-            .expect("the gateway is ready");
+        let mut gateway = Process::start("gateway", &site.gateway_settings(1, &ports));
+        if let Err(error) = wait_until_ready(ready, READY_TIMEOUT).await {
+            panic!("{error}: {}", gateway.describe());
+        }
         Deployment {
             site,
             gateway,
