Bound the copies of one switch by their time

Change: the sets are planned together, the most uneven first, and all copies of a rank in one switch fit into 230 ms, or are one if that takes longer. The time of a copy follows from the size of an expert and the rank's bandwidth in the configuration. The rest of the gain comes with the next switch.

Tests: short_switches_follow_shifts replays shifts every 2.5 s and fails without the limit; rank_copies_follow_copy_time.

--- a/crates/placement/src/even_split.rs
+++ b/crates/placement/src/even_split.rs
@@ -3,6 +3,8 @@
 //! Meant for demand that shifts within seconds: a plan consists of a few copies, each of which
 //! shortens the forward pass, so that the switch can follow soon.
 
+use std::time::Duration;
+
 /// Exponent of the load in the objective. A high exponent follows the most loaded rank, but still
 /// shows progress when several ranks are equally loaded.
 const OBJECTIVE_POWER: i32 = 8;
@@ -26,6 +28,17 @@
 /// Lower bound on a slowdown, so that a malformed value never causes a division by zero.
 const MIN_SLOWDOWN: f64 = 0.1;
 
+/// Time that the copies of one switch may take, unless a single one takes longer. The demand moves
+/// on while ranks copy.
+const MAX_COPY_TIME: Duration = Duration::from_millis(230);
+
+/// Returns how many experts of all sets one switch may copy to a rank, at least one. A copy time of
+/// zero sets no limit.
+pub fn find_rank_copies(copy_time: Duration) -> usize {
+    let copies = MAX_COPY_TIME.as_micros().checked_div(copy_time.as_micros());
+    copies.map_or(usize::MAX, |copies| (copies as usize).max(1))
+}
+
 /// The experts of each rank in one set.
 pub type SetMap = Vec<Vec<u16>>;
 
@@ -36,6 +49,9 @@
     pub slots: usize,
     /// Maximum experts of a set that one plan copies to a rank.
     pub max_copies: usize,
+    /// Maximum experts of all sets that the plans of one switch copy to a rank. The switch waits for
+    /// the rank with the most copies.
+    pub rank_copies: usize,
     /// Minimum reduction of the skew by each copy.
     pub min_gain: f64,
 }
@@ -45,6 +61,7 @@
         Self {
             slots: 8,
             max_copies: 3,
+            rank_copies: usize::MAX,
             min_gain: 0.03,
         }
     }
@@ -96,6 +113,8 @@
     slowdowns: Vec<f64>,
     /// Number of experts on each rank that were not there in the initial map.
     new_experts: Vec<usize>,
+    /// Maximum of that number.
+    max_experts: Vec<usize>,
     initial: &'demand SetMap,
 }
 
@@ -121,7 +140,48 @@
 /// Plans one set. `demand` holds the tokens of each expert, `slowdowns` the time that each rank
 /// needs for the same work, as a multiple of the normal time.
 pub fn plan_set(demand: &[f64], slowdowns: &[f64], map: &SetMap, limits: &Limits) -> Plan {
+    let used = vec![0; map.len()];
+    plan_set_within(demand, slowdowns, map, limits, &used)
+}
+
+/// Plans all sets for one switch, the most uneven one first. `demand` holds the tokens of each
+/// expert, set by set.
+///
+/// Copies count by rank over all sets: a switch that brings most of the gain soon, with another one
+/// after it, is worth more than a complete one that comes when the demand has moved on.
+pub fn plan_sets(demand: &[f64], slowdowns: &[f64], maps: &[SetMap], limits: &Limits) -> Vec<Plan> {
+    let experts = demand.len() / maps.len().max(1);
+    let demands: Vec<&[f64]> = demand.chunks(experts.max(1)).collect();
+    let skew = |set: &usize| compute_skew(demands[*set], slowdowns, &maps[*set]);
+    let mut order: Vec<(f64, usize)> = (0..maps.len()).map(|set| (skew(&set), set)).collect();
+    order.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut used = vec![0; slowdowns.len()];
+    let mut plans: Vec<(usize, Plan)> = Vec::with_capacity(maps.len());
+    for (_, set) in order {
+        let plan = plan_set_within(demands[set], slowdowns, &maps[set], limits, &used);
+        for (used, (new, old)) in used.iter_mut().zip(plan.map.iter().zip(&maps[set])) {
+            *used += new.iter().filter(|expert| !old.contains(expert)).count();
+        }
+        plans.push((set, plan));
+    }
+    plans.sort_by_key(|(set, _)| *set);
+    plans.into_iter().map(|(_, plan)| plan).collect()
+}
+
+/// Plans one set after the plans of other sets have used copies of each rank.
+fn plan_set_within(
+    demand: &[f64],
+    slowdowns: &[f64],
+    map: &SetMap,
+    limits: &Limits,
+    used: &[usize],
+) -> Plan {
     let mut draft = SetDraft::new(demand, slowdowns, map);
+    for (max, used) in draft.max_experts.iter_mut().zip(used) {
+        *max = limits
+            .max_copies
+            .min(limits.rank_copies.saturating_sub(*used));
+    }
     let before = draft.max_load();
     let mut best = (draft.map.clone(), before, 0);
     if before - EVEN_SKEW < limits.min_gain {
@@ -188,6 +248,7 @@
             loads: vec![0.0; map.len()],
             powers: vec![0.0; map.len()],
             new_experts: vec![0; map.len()],
+            max_experts: vec![usize::MAX; map.len()],
             initial: map,
             slowdowns,
         };
@@ -234,7 +295,7 @@
             for expert in self.list_hottest(hot) {
                 for cold in order.iter().rev().take(COLD_RANKS).copied() {
                     changes.clear();
-                    self.list_changes(expert, hot, cold, limits, &mut changes);
+                    self.list_changes(expert, hot, cold, limits.slots, &mut changes);
                     for change in changes.iter().copied() {
                         let improvement = self.evaluate_change(&change, &mut loads);
                         let gain = improvement / change.copies() as f64;
@@ -265,11 +326,11 @@
         expert: u16,
         hot: usize,
         cold: usize,
-        limits: &Limits,
+        slots: usize,
         changes: &mut Vec<Change>,
     ) {
         let has = self.map[cold].contains(&expert);
-        if hot == cold || has || !self.may_copy(cold, expert, limits) {
+        if hot == cold || has || !self.may_copy(cold, expert) {
             return;
         }
         let change = Change {
@@ -280,7 +341,7 @@
             swaps: false,
         };
         let from = Some(hot);
-        if self.map[cold].len() < limits.slots {
+        if self.map[cold].len() < slots {
             changes.push(change);
             changes.push(Change { from, ..change });
         }
@@ -294,7 +355,7 @@
                     ..change
                 });
             }
-            let fits = !self.map[hot].contains(other) && self.may_copy(hot, *other, limits);
+            let fits = !self.map[hot].contains(other) && self.may_copy(hot, *other);
             if fits {
                 changes.push(Change {
                     evicted,
@@ -306,8 +367,9 @@
         }
     }
 
-    fn may_copy(&self, rank: usize, expert: u16, limits: &Limits) -> bool {
-        self.initial[rank].contains(&expert) || self.new_experts[rank] < limits.max_copies
+    fn may_copy(&self, rank: usize, expert: u16) -> bool {
+        let is_back = self.initial[rank].contains(&expert);
+        is_back || self.new_experts[rank] < self.max_experts[rank]
     }
 
     /// Returns by how much a change lowers the objective. `loads` is only working memory.
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -80,6 +80,18 @@
     pub max_copies: u16,
     /// Size of one expert in MB.
     pub expert_mb: f64,
+    /// Bandwidth at which a rank copies experts, in Mbit/s; 0 if unknown.
+    pub copy_mbps: f64,
+}
+
+const BITS_PER_BYTE: f64 = 8.0;
+
+impl ExpertLayout {
+    /// Time in which a rank copies one expert; zero if the size or the bandwidth is unknown.
+    pub fn copy_time(&self) -> Duration {
+        let seconds = self.expert_mb * BITS_PER_BYTE / self.copy_mbps;
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
 }
 
 /// Service that routes refer to.
--- a/src/rank_agent/leader.rs
+++ b/src/rank_agent/leader.rs
@@ -22,10 +22,10 @@
 use siskinbend_groups::view::MIN_REPORT_INTERVAL;
 use siskinbend_placement::even_split::Limits;
 use siskinbend_placement::even_split::MIN_SWITCH_GAIN;
-use siskinbend_placement::even_split::Plan;
 use siskinbend_placement::even_split::compute_mean_skews;
 use siskinbend_placement::even_split::compute_skew;
-use siskinbend_placement::even_split::plan_set;
+use siskinbend_placement::even_split::find_rank_copies;
+use siskinbend_placement::even_split::plan_sets;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
 use siskinbend_site::engine::Placement;
@@ -230,15 +230,7 @@
     let Some(limits) = load_limits(agent, now).await else {
         return;
     };
-    let plans: Vec<Plan> = group
-        .map
-        .iter()
-        .enumerate()
-        .map(|(set, current)| {
-            let demand = &demand[set * experts..][..experts];
-            plan_set(demand, &slowdowns, current, &limits)
-        })
-        .collect();
+    let plans = plan_sets(&demand, &slowdowns, &group.map, &limits);
     let (before, after) = compute_mean_skews(&plans);
     if before - after < MIN_SWITCH_GAIN {
         agent.group_view().plan_gate.record_rejected(after, now);
@@ -322,6 +314,7 @@
     let limits = Limits {
         slots: usize::from(engine.rank_capacity),
         max_copies: usize::from(engine.max_copies),
+        rank_copies: find_rank_copies(engine.copy_time()),
         min_gain: (engine.expert_mb / MB_PER_GB * MIN_GAIN_PER_GB)
             .clamp(MIN_COPY_GAIN, MAX_COPY_GAIN),
     };
--- a/tests/integration/even_placement.rs
+++ b/tests/integration/even_placement.rs
@@ -1,5 +1,7 @@
 //! Placement for engines that split the tokens of an expert evenly over its replicas.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -9,7 +11,9 @@
 use siskinbend_placement::even_split::SetMap;
 use siskinbend_placement::even_split::compute_mean_skews;
 use siskinbend_placement::even_split::compute_skew;
+use siskinbend_placement::even_split::find_rank_copies;
 use siskinbend_placement::even_split::plan_set;
+use siskinbend_placement::even_split::plan_sets;
 
 const RANKS: usize = 12;
 const EXPERTS: usize = 72;
@@ -173,3 +177,89 @@
         "maximum load {before} before and {after} after"
     );
 }
+
+/// Number of layer sets of the replay.
+const SETS: usize = 8;
+/// Time between two shifts of the demand in the replay.
+const SHIFT_INTERVAL_MS: u64 = 2_500;
+/// Time in which a rank copies one expert in the replay.
+const COPY_TIME: Duration = Duration::from_millis(76);
+/// Time between two plans of the replay.
+const PLAN_INTERVAL_MS: u64 = 100;
+/// Time that a switch takes without its copies.
+const ORDER_TIME_MS: u64 = 180;
+
+fn count_rank_copies(plans: &[Plan], maps: &[SetMap]) -> Vec<usize> {
+    let copies = |rank: usize| {
+        let sets = plans.iter().zip(maps);
+        sets.map(|(plan, map)| {
+            let is_new = |expert: &&u16| !map[rank].contains(expert);
+            plan.map[rank].iter().filter(is_new).count()
+        })
+        .sum()
+    };
+    (0..RANKS).map(copies).collect()
+}
+
+/// Replays 10 s of demand that shifts in every set at once, and returns the mean skew. Plans see the
+/// demand as it is, and their maps come into force when the rank with the most copies is done.
+fn replay_shifts(rank_copies: usize) -> f64 {
+    let limits = Limits {
+        rank_copies,
+        ..Limits::default()
+    };
+    let slowdowns = vec![1.0; RANKS];
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut maps = vec![assign_round_robin(); SETS];
+    let mut demand: Vec<f64> = Vec::new();
+    let mut pending: Option<(u64, Vec<SetMap>)> = None;
+    let (mut sum, mut samples) = (0.0, 0.0);
+    for ms in (0..10_000).step_by(20) {
+        if ms % SHIFT_INTERVAL_MS == 0 {
+            demand = (0..SETS).flat_map(|_| draw_demand(&mut rng)).collect();
+        }
+        if let Some((_, new)) = pending.take_if(|(due, _)| *due <= ms) {
+            maps = new;
+        }
+        if pending.is_none() && ms % PLAN_INTERVAL_MS == 0 {
+            let plans = plan_sets(&demand, &slowdowns, &maps, &limits);
+            let (before, after) = compute_mean_skews(&plans);
+            let most = count_rank_copies(&plans, &maps).into_iter().max();
+            let most = most.unwrap_or(0);
+            assert!(most <= rank_copies, "{most} copies to one rank");
+            if before - after >= MIN_SWITCH_GAIN {
+                let duration = ORDER_TIME_MS + most as u64 * COPY_TIME.as_millis() as u64;
+                let new = plans.into_iter().map(|plan| plan.map).collect();
+                pending = Some((ms + duration, new));
+            }
+        }
+        let experts = demand.len() / SETS;
+        for (map, demand) in maps.iter().zip(demand.chunks(experts)) {
+            sum += compute_skew(demand, &slowdowns, map);
+            samples += 1.0;
+        }
+    }
+    sum / samples
+}
+
+/// Guards against switches that bring a complete map when the demand has moved on: with shifts every
+/// 2.5 s in all sets, switches of few copies a rank keep the load more even than complete ones.
+#[test]
+fn short_switches_follow_shifts() {
+    let limited = replay_shifts(find_rank_copies(COPY_TIME));
+    let complete = replay_shifts(usize::MAX);
+    assert!(
+        limited < complete * 0.95,
+        "{limited:.3} against {complete:.3}"
+    );
+}
+
+/// Guards against experts so large that no copy fits the time of a switch, and against a limit where
+/// the time is unknown.
+#[test]
+fn rank_copies_follow_copy_time() {
+    let copies = |ms: u64| find_rank_copies(Duration::from_millis(ms));
+    assert_eq!(copies(400), 1);
+    assert_eq!(copies(76), 3);
+    assert_eq!(copies(0), usize::MAX);
+}
