Bound the memory of responses that never end

With 24 requests at a server that sends a body without end, a gateway of a VM with 160 MB used 225 MB: each response may be up to 8 MiB, and nothing bounded them together.

Change: responses that are read at the same time share 24 MiB; the first 64 KiB of each are free, so that broken servers never keep short answers from being read. A response that gets no memory counts as broken.

Checked and found bounded: heads without an end, with endless header fields, endless interim heads, bytes that are no answer, events that never end.

Tests: endless_bytes; endless_bodies_end failed before (224,888 kB).

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -6,9 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -35,6 +33,8 @@
     Timeout,
     /// the answer exceeds the allowed length
     BodyTooLong,
+    /// too many long answers are being read at the same time
+    NoBodyMemory,
 }
 
 impl std::error::Error for ConnectionError {}
@@ -124,21 +124,6 @@
     }
 }
 
-/// Reads a body of at most `max_bytes` to its end.
-///
-/// # Errors
-///
-/// [`ConnectionError::BodyTooLong`] or [`ConnectionError::Broken`].
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ConnectionError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ConnectionError::BodyTooLong)
-        }
-        Err(_) => Err(ConnectionError::Broken),
-    }
-}
-
 fn set_options(stream: &TcpStream, close_mode: CloseMode) {
     let socket = SockRef::from(stream);
     let linger = match close_mode {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,11 +3,14 @@
 //! A [`Connection`] serves one request at a time. It never sends a request twice, and its errors
 //! distinguish a request that was not sent from one that may have arrived.
 
+mod body;
 mod connection;
 mod pool;
 
+pub use body::BodyBudget;
+pub use body::read_body;
+pub use body::read_body_within;
 pub use connection::CloseMode;
 pub use connection::Connection;
 pub use connection::ConnectionError;
-pub use connection::read_body;
 pub use pool::ConnectionPool;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -231,9 +231,9 @@
             let failure = match error {
                 ConnectionError::Connect | ConnectionError::NotSent => AttemptFailure::NotSent,
                 ConnectionError::Timeout => AttemptFailure::Stalled,
-                ConnectionError::Broken | ConnectionError::BodyTooLong => {
-                    AttemptFailure::ConnectionLost
-                }
+                ConnectionError::Broken
+                | ConnectionError::BodyTooLong
+                | ConnectionError::NoBodyMemory => AttemptFailure::ConnectionLost,
             };
             log::info!(
                 request:% = call.head.id,
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use siskinbend_link::read_body;
+use siskinbend_link::read_body_within;
 use siskinbend_request::AttemptFailure;
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::NextStep;
@@ -98,7 +98,8 @@
     } = pending;
     let (parts, body) = response.into_parts();
     let time_left = call.time_left(gateway.now());
-    let body = match timeout(time_left, read_body(body, MAX_RESPONSE_BYTES)).await {
+    let reading = read_body_within(body, MAX_RESPONSE_BYTES, &gateway.bodies);
+    let body = match timeout(time_left, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             log::info!(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use siskinbend_link::BodyBudget;
 use siskinbend_site::Config;
 use siskinbend_site::DeploymentView;
 use siskinbend_site::HeaderCodec;
@@ -38,6 +39,8 @@
 
 /// Interval of the periodic updates of server health and registrations.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum size of all long responses that are buffered at the same time.
+const MAX_BUFFERED_BYTES: usize = 24 << 20;
 /// Part of the grace period reserved for the exit of the process after draining.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
@@ -57,6 +60,8 @@
     shutdown: Shutdown,
     metrics: Metrics,
     peers: PeerClient,
+    /// Memory for the responses that are buffered at the same time.
+    bodies: BodyBudget,
     view: Mutex<DeploymentView>,
     fleet: Mutex<Fleet>,
 }
@@ -133,6 +138,7 @@
         fleet: Mutex::new(Fleet::new(settings.zone.clone(), settings.bounds)),
         view: Mutex::new(DeploymentView::new(view_settings)),
         peers: PeerClient::new(settings.peers.port()),
+        bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
         clock: BootClock,
         metrics: Metrics::default(),
         shutdown,
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -32,13 +32,13 @@
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout for expected events, long enough for a loaded machine.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+pub const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 const RANKS: usize = 3;
 
 static SETTINGS_FILES: AtomicU32 = AtomicU32::new(0);
 
 /// A process under test; it is killed if the test ends early.
-struct Process {
+pub struct Process {
     child: Child,
     /// File that its log lines are written to.
     log: PathBuf,
@@ -65,6 +65,15 @@
         }
     }
 
+    /// Returns the most memory that the process has used, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(file).expect("the status of the process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|n| n.parse().ok()).expect("a number of kB")
+    }
+
     /// Returns whether the process still runs, and its log lines, to explain a failure.
     fn describe(&mut self) -> String {
         let status = self.child.try_wait();
@@ -101,16 +110,16 @@
     }
 }
 
-struct Deployment {
-    site: Site,
-    gateway: Process,
+pub struct Deployment {
+    pub site: Site,
+    pub gateway: Process,
     callers: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
 }
 
 impl Deployment {
-    async fn start() -> Deployment {
+    pub async fn start() -> Deployment {
         Deployment::start_groups(1).await
     }
 
@@ -139,7 +148,7 @@
         }
     }
 
-    async fn call(&self, path: &str, id: &str) -> Answer {
+    pub async fn call(&self, path: &str, id: &str) -> Answer {
         Caller::default().call(self.callers, path, id).await
     }
 
@@ -153,7 +162,7 @@
     }
 }
 
-async fn wait_until(event: &str, is_done: impl Fn() -> bool) {
+pub async fn wait_until(event: &str, is_done: impl Fn() -> bool) {
     let started = Instant::now();
     while !is_done() {
         assert!(
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod direct_attempts;
 mod document;
 mod ejection;
+mod endless_bytes;
 mod entry_kill;
 mod even_placement;
 mod event_streams;
