Discard answers without an id of their own

A server that sent a second copy of an answer on a kept connection, without the id of its request, had it passed on to the next caller as a success. With the id it was discarded.

Change: a success passes only with the id of the request; requests without an id take a new connection.

Tests: late_copies::unmarked_copy_is_discarded failed before (the answer for item48 to the caller of item49); late_copy_is_discarded.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -180,13 +180,13 @@
 
 /// Reuses an idle connection or opens a new one. A request that may not be retried takes a new one:
 /// on an idle connection it could race with the server's close, or receive the late response to
-/// another request.
+/// another request. So does a request without an id, whose response can't be told from a late one.
 async fn open_connection(
     gateway: &Arc<Gateway>,
     call: &Call,
     attempt: &AttemptGuard,
 ) -> Result<Connection, ConnectionError> {
-    let idle = if call.route.kind.is_retryable() {
+    let idle = if call.route.kind.is_retryable() && !call.head.id.is_empty() {
         gateway.fleet().take_connection(&attempt.target.id)
     } else {
         None
@@ -270,7 +270,11 @@
     head: &ResponseHead,
 ) -> Result<PendingResponse, FailedAttempt> {
     let status = response.status();
-    let foreign = head.id.as_ref().is_some_and(|id| *id != call.head.id);
+    // A late copy of an earlier answer may lack its id, so that a success must state its own.
+    let foreign = match &head.id {
+        Some(id) => *id != call.head.id,
+        None => status.is_success() && !call.head.id.is_empty(),
+    };
     let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
     let unsealed = status.is_success() && !head.sealed;
     if foreign || encoded || unsealed {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -25,6 +25,7 @@
 mod half_cut_link;
 mod history;
 mod key_rotation;
+mod late_copies;
 mod lease;
 mod ledger;
 mod map_orders;
