Move the processes under test into a file of their own

gateway_shell had grown over 600 lines, and two other features start the same processes. No check changes.

--- a/tests/integration/endless_bytes.rs
+++ b/tests/integration/endless_bytes.rs
@@ -13,9 +13,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::gateway_shell::Deployment;
-use crate::gateway_shell::EVENT_TIMEOUT;
-use crate::gateway_shell::wait_until;
+use crate::deployment::Deployment;
+use crate::deployment::EVENT_TIMEOUT;
+use crate::deployment::wait_until;
 
 /// Requests that are sent at the same time.
 const REQUESTS: usize = 24;
--- a/tests/integration/late_copies.rs
+++ b/tests/integration/late_copies.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::gateway_shell::Deployment;
-use crate::gateway_shell::EVENT_TIMEOUT;
+use crate::deployment::Deployment;
+use crate::deployment::EVENT_TIMEOUT;
 
 /// Answers of the server that are checked.
 const SUCCESSES: u32 = 10;
