Let a leader without the store ask other agents for its limits

Each try also kept the leader's other work waiting for 0.9 s.

Change: a task of its own reads the limits while the agent leads, and asks a member of the group if the store doesn't answer. Known limits are used at any age.

Ruled out: the size of the configuration (at most 64 KB a row).

Test: leader_without_store_plans fails without the question to a member.

--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -50,7 +50,7 @@
 /// Minimum age of a report at which the leader reads the rank directly.
 const DIRECT_READ_AGE: Duration = Duration::from_millis(1_000);
 
-/// Time for which the placement limits are cached.
+/// Age from which the placement limits are read again.
 const LIMITS_TTL: Duration = Duration::from_secs(30);
 
 /// Latest report of a rank.
@@ -489,22 +489,29 @@
         recent
     }
 
-    /// Returns the cached placement limits unless they have expired.
-    pub fn cached_limits(&self, now: Time) -> Option<Limits> {
-        let (limits, read_at) = self.limits?;
-        (now.since(read_at) <= LIMITS_TTL).then_some(limits)
+    /// Returns the latest placement limits of any age: old ones are better than no map.
+    pub fn limits(&self) -> Option<Limits> {
+        self.limits.map(|(limits, _)| limits)
+    }
+
+    /// Whether the placement limits have to be read: this agent leads, and has none or old ones.
+    pub fn needs_limits(&self, now: Time) -> bool {
+        let is_fresh = self
+            .limits
+            .is_some_and(|(_, read_at)| now.since(read_at) <= LIMITS_TTL);
+        !is_fresh && self.list_leader_candidates(now).is_empty()
     }
 
-    /// Caches placement limits that were just read.
+    /// Records placement limits that were just read, or received from another agent.
     pub fn set_limits(&mut self, limits: Limits, now: Time) {
         self.limits = Some((limits, now));
     }
 
-    /// Extends the validity of the cached limits while the configuration cannot be read.
-    pub fn extend_limits(&mut self, now: Time) -> Option<Limits> {
-        let (_, read_at) = self.limits.as_mut()?;
-        *read_at = now;
-        self.limits.map(|(limits, _)| limits)
+    /// Chooses another member of the group whose agent is asked for the placement limits.
+    pub fn choose_member(&self, random: u64) -> Option<SocketAddr> {
+        let others: Vec<&SocketAddr> = self.members.iter().filter(|r| **r != self.own).collect();
+        let index = random.checked_rem(others.len() as u64)?;
+        others.get(usize::try_from(index).ok()?).map(|rank| **rank)
     }
 
     /// Returns the latest pass that this agent may not hold; `step` is the latest pass that has
--- a/crates/placement/src/even_split.rs
+++ b/crates/placement/src/even_split.rs
@@ -5,6 +5,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Exponent of the load in the objective. A high exponent follows the most loaded rank, but still
 /// shows progress when several ranks are equally loaded.
 const OBJECTIVE_POWER: i32 = 8;
@@ -43,7 +46,7 @@
 pub type SetMap = Vec<Vec<u16>>;
 
 /// Limits of a plan.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// Experts that a rank can hold in a set.
     pub slots: usize,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -36,6 +36,8 @@
 pub(crate) const LOADS_PATH: &str = "/loads";
 /// Path that returns which group each rank of the service belongs to.
 pub(crate) const DIRECTORY_PATH: &str = "/directory";
+/// Path that returns the limits of expert maps.
+pub(crate) const LIMITS_PATH: &str = "/limits";
 
 /// New experts of one rank in one layer set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/rank_agent/leader.rs
+++ b/src/rank_agent/leader.rs
@@ -20,11 +20,9 @@
 use siskinbend_groups::orders::generate_version;
 use siskinbend_groups::report::RankReport;
 use siskinbend_groups::view::MIN_REPORT_INTERVAL;
-use siskinbend_placement::even_split::Limits;
 use siskinbend_placement::even_split::MIN_SWITCH_GAIN;
 use siskinbend_placement::even_split::compute_mean_skews;
 use siskinbend_placement::even_split::compute_skew;
-use siskinbend_placement::even_split::find_rank_copies;
 use siskinbend_placement::even_split::plan_sets;
 use siskinbend_site::engine::Order;
 use siskinbend_site::engine::OrderReply;
@@ -50,14 +48,6 @@
 const ORPHANED_HOLD_DELAY: Duration = Duration::from_millis(300);
 /// Timeout of a switch or recovery, after which the leader reads the group again.
 const PROCEDURE_TIMEOUT: Duration = Duration::from_secs(12);
-/// Minimum gain in one set for each GB that is copied.
-const MIN_GAIN_PER_GB: f64 = 0.1;
-const MB_PER_GB: f64 = 1_000.0;
-/// Lower bound of the minimum gain of one copy: each copy delays the switch, whatever its size.
-const MIN_COPY_GAIN: f64 = 0.03;
-/// Upper bound of the minimum gain of one copy.
-const MAX_COPY_GAIN: f64 = 0.1;
-
 /// Placeholder for the address of a rank that could not be read.
 const UNKNOWN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -227,7 +217,7 @@
     if !agent.group_view().plan_gate.is_plan_due(skew, now) {
         return;
     }
-    let Some(limits) = load_limits(agent, now).await else {
+    let Some(limits) = agent.group_view().limits() else {
         return;
     };
     let plans = plan_sets(&demand, &slowdowns, &group.map, &limits);
@@ -296,32 +286,6 @@
     }
 }
 
-/// Returns the placement limits of the service's engines, from the cache or the configuration.
-async fn load_limits(agent: &Agent, now: Time) -> Option<Limits> {
-    let cached = agent.group_view().cached_limits(now);
-    if cached.is_some() {
-        return cached;
-    }
-    let service = agent.settings.service.as_ref()?;
-    let config = match agent.source.read_config().await {
-        Ok(read) => read.content?,
-        Err(error) => {
-            log::warn!(matter = "config", error:% = error; "store_lost");
-            return agent.group_view().extend_limits(now);
-        }
-    };
-    let engine = config.find_service(service)?.engine.as_ref()?;
-    let limits = Limits {
-        slots: usize::from(engine.rank_capacity),
-        max_copies: usize::from(engine.max_copies),
-        rank_copies: find_rank_copies(engine.copy_time()),
-        min_gain: (engine.expert_mb / MB_PER_GB * MIN_GAIN_PER_GB)
-            .clamp(MIN_COPY_GAIN, MAX_COPY_GAIN),
-    };
-    agent.group_view().set_limits(limits, now);
-    Some(limits)
-}
-
 /// Returns the latest pass that a new switch may not hold, if every rank was read and no switch is
 /// in progress.
 fn find_hold_floor(
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod directory;
 mod leader;
+mod limits;
 mod map_history;
 mod relay;
 mod report;
@@ -114,6 +115,7 @@
     tokio::spawn(poll_registry(Arc::clone(&agent)));
     tokio::spawn(report::run(Arc::clone(&agent)));
     tokio::spawn(directory::run(Arc::clone(&agent)));
+    tokio::spawn(limits::run(Arc::clone(&agent)));
     leader::run(&agent).await;
     log::info!(node:% = agent.settings.node; "rank_agent_stopped");
     Ok(())
--- a/src/rank_agent/server.rs
+++ b/src/rank_agent/server.rs
@@ -18,9 +18,11 @@
 use tokio::net::TcpListener;
 
 use super::Agent;
+use super::limits;
 use super::relay;
 use crate::listener;
 use crate::peer::DIRECTORY_PATH;
+use crate::peer::LIMITS_PATH;
 use crate::peer::LOADS_PATH;
 use crate::peer::MAX_MESSAGE_BYTES;
 use crate::peer::PUSH_PATH;
@@ -55,6 +57,7 @@
         PUSH_PATH => handle_report(&agent, &content),
         LOADS_PATH => encode(&agent.group_view().find_loads(agent.now())),
         DIRECTORY_PATH => handle_directory_query(&agent, &content),
+        LIMITS_PATH => encode(&limits::find(&agent).await),
         RELAY_PATH => relay(&agent, &content).await,
         _ => Err(StatusCode::NOT_FOUND),
     };
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -462,3 +462,29 @@
     assert_eq!(mixed, 0, "passes with two maps");
     drop(agents);
 }
+
+/// Guards against a group that stays on an outdated map because its leader can't reach the store: the
+/// leader asks other agents for what the configuration says.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_without_store_plans() {
+    let deployment = Deployment::start().await;
+    let site = &deployment.site;
+    let settings = |rank: usize| {
+        let settings = site.rank_settings(rank);
+        let store = format!("platform.address={}", site.address);
+        match rank {
+            // Nothing listens at the discard port.
+            0 => settings.replace(&store, "platform.address=127.0.0.1:9"),
+            _ => settings,
+        }
+    };
+    let start = |rank: usize| Process::start("rank-agent", &settings(rank));
+    let agents: Vec<Process> = (0..RANKS).map(start).collect();
+    let started = Instant::now();
+    while site.groups[0].switch_counts().0 < RANKS as u32 {
+        assert!(started.elapsed() < EVENT_TIMEOUT, "no map was switched");
+        let id = format!("l{}", started.elapsed().as_micros());
+        deployment.call("/draft/x/", &id).await;
+    }
+    drop(agents);
+}
