Keep the demand when an agent reports no counts

Cause: found while reading the change: a bundle without expert counts would have cleared the leader's estimate of the demand.

Change: such a bundle adds nothing; ages of relayed reports saturate.

Test: missing_counts_keep_the_demand.

--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -79,8 +79,8 @@
     reports: BTreeMap<SocketAddr, ReceivedReport>,
     /// Reports of other agents that wait to be relayed, with their receipt times.
     relayed: BTreeMap<SocketAddr, (RankReport, Time)>,
-    /// Choices of experts that wait to be relayed.
-    relayed_chosen: ReportBundle,
+    /// Bundle to be sent next; until then it holds only the expert counts that wait to be relayed.
+    next_bundle: ReportBundle,
     /// Loads of the group as received from the leader.
     leader_loads: Option<(GroupLoads, Time)>,
     /// Epoch, and the latest pass in it that this agent may not hold.
@@ -115,7 +115,7 @@
             unresponsive: BTreeMap::new(),
             reports: BTreeMap::new(),
             relayed: BTreeMap::new(),
-            relayed_chosen: ReportBundle::default(),
+            next_bundle: ReportBundle::default(),
             leader_loads: None,
             hold_floor: None,
             limits: None,
@@ -155,7 +155,7 @@
             self.group = Some(state.group.clone());
             self.reports.clear();
             self.relayed.clear();
-            self.relayed_chosen = ReportBundle::default();
+            self.next_bundle = ReportBundle::default();
             self.leader_loads = None;
             self.demand = RecentDemand::new(Default::default());
         }
@@ -335,9 +335,9 @@
     /// Collects the reports to send: this agent's own one, if its rank could be read, and those
     /// that wait to be relayed.
     pub fn collect(&mut self, own: Option<(RankReport, Vec<u32>)>, now: Time) -> ReportBundle {
-        let mut bundle = std::mem::take(&mut self.relayed_chosen);
+        let mut bundle = std::mem::take(&mut self.next_bundle);
         for (mut report, received_at) in std::mem::take(&mut self.relayed).into_values() {
-            report.age_ms += elapsed_ms(received_at, now);
+            report.age_ms = report.age_ms.saturating_add(elapsed_ms(received_at, now));
             bundle.reports.push(report);
         }
         if let Some((report, chosen)) = own {
@@ -360,7 +360,7 @@
             self.record_bundle(bundle, now);
             return true;
         }
-        self.relayed_chosen.add_chosen(&bundle.chosen);
+        self.next_bundle.add_chosen(&bundle.chosen);
         for report in bundle.reports {
             self.relayed.insert(report.rank, (report, now));
         }
@@ -369,7 +369,10 @@
 
     /// Records reports as the leader.
     pub fn record_bundle(&mut self, bundle: ReportBundle, now: Time) {
-        self.demand.add(&bundle.chosen, now);
+        // Reports of ranks whose counts could not be read carry none.
+        if !bundle.chosen.is_empty() {
+            self.demand.add(&bundle.chosen, now);
+        }
         for report in bundle.reports {
             let age = Duration::from_millis(u64::from(report.age_ms));
             let read_at = Time(now.0.saturating_sub(age.as_micros() as u64));
@@ -445,7 +448,7 @@
         }
         let mut loads = loads.clone();
         for load in &mut loads.ranks {
-            load.age_ms += elapsed_ms(*received_at, now);
+            load.age_ms = load.age_ms.saturating_add(elapsed_ms(*received_at, now));
         }
         Some(loads)
     }
--- a/tests/integration/group_directory.rs
+++ b/tests/integration/group_directory.rs
@@ -260,6 +260,18 @@
     assert!(view.is_complete());
 }
 
+/// Guards against a leader that forgets the demand because an agent could read no counts.
+#[test]
+fn missing_counts_keep_the_demand() {
+    let mut service = Service::new(&[3]);
+    service.converge();
+    let now = Time::from_millis(1_000);
+    service.report(now);
+    let view = service.view(address(0));
+    view.record_bundle(ReportBundle::default(), now);
+    assert_eq!(view.demand.sum_counts(), 3.0);
+}
+
 /// Guards against an agent that leads although one with a lower address is back.
 #[test]
 fn skipped_agents_are_checked() {
