Give each simulated site addresses of its own

All gateways of all tests shared one loopback address, with ports that were found free on another address and given back before the gateway bound them; some 30 sites at the same time draw 90 ports from 28,000.

Change: each site has loopback addresses of its own for its VMs.

--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -13,6 +13,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bpaf::Bpaf;
@@ -76,17 +78,32 @@
     pub model_replicas: Vec<Arc<Replica>>,
     /// Groups that the model replicas form, all of the same size.
     pub groups: Vec<Arc<Group>>,
+    /// Third part of the VM addresses of this site.
+    pub subnet: u8,
     /// Port for traffic between agents; it is free on every loopback address in use.
     pub peer_port: u16,
 }
 
+/// Number of sites that this process has started.
+static SITES: AtomicU8 = AtomicU8::new(0);
+/// Third part of the first site's VM addresses. Each site of a process has VMs of its own, so that a
+/// port that is free for one is not taken by another.
+const FIRST_SUBNET: u8 = 16;
+/// Number of subnets after which they are used again.
+const SUBNETS: u8 = 200;
+
 /// Returns the loopback address that stands for the VM of a model replica; processes of one VM share
 /// it.
-pub fn vm_address(replica: usize) -> IpAddr {
-    Ipv4Addr::new(127, 0, 1, 1 + replica as u8).into()
+fn vm_address(subnet: u8, replica: usize) -> IpAddr {
+    Ipv4Addr::new(127, 0, subnet, 1 + replica as u8).into()
 }
 
 impl Site {
+    /// Returns the loopback address that stands for the VM of a gateway.
+    pub fn gateway_address(&self, gateway: usize) -> IpAddr {
+        Ipv4Addr::new(127, 1, self.subnet, 1 + gateway as u8).into()
+    }
+
     /// Starts the store, two plain replicas and one group of ranks, and stores the configuration.
     ///
     /// # Errors
@@ -103,6 +120,7 @@
     pub async fn start_groups(groups: usize, ranks: usize) -> Result<Site, BoxError> {
         let store = Arc::new(Store::default());
         let address = server::spawn(Arc::clone(&store).build_router()).await?;
+        let subnet = FIRST_SUBNET + SITES.fetch_add(1, Ordering::Relaxed) % SUBNETS;
         let shape = GroupShape {
             ranks,
             sets: 2,
@@ -124,7 +142,7 @@
             let membership = Some((Arc::clone(&groups[n % groups.len()]), n / groups.len()));
             let replica = Arc::new(Replica::new(format!("i-draft{n}"), membership));
             let router = Arc::clone(&replica).build_router();
-            let address = server::spawn_at((vm_address(n), 0).into(), router).await?;
+            let address = server::spawn_at((vm_address(subnet, n), 0).into(), router).await?;
             store.register_replica(&replica.id, "drafts", address);
             model_replicas.push(replica);
         }
@@ -138,6 +156,7 @@
             plain_replicas,
             model_replicas,
             groups,
+            subnet,
             peer_port: server::free_ports(1)?[0],
         })
     }
@@ -157,7 +176,11 @@
 
     /// Builds the settings file of the agent of a model replica.
     pub fn rank_settings(&self, replica: usize) -> String {
-        let mut text = self.common_settings(&format!("side-{replica}"), vm_address(replica), 0);
+        let mut text = self.common_settings(
+            &format!("side-{replica}"),
+            vm_address(self.subnet, replica),
+            0,
+        );
         let app = self.store.find_address(&self.model_replicas[replica].id);
         let _ = write!(text, "app={app}\nservice=drafts\n");
         text
@@ -209,7 +232,7 @@
     let mut gateways = Vec::new();
     for n in 0..options.gateways {
         let ports = server::free_ports(2)?;
-        let ip = Ipv4Addr::new(127, 0, 2, 1 + n as u8);
+        let ip = site.gateway_address(n);
         let callers: SocketAddr = (ip, ports[0]).into();
         let ready: SocketAddr = (ip, ports[1]).into();
         let file = options.folder.join(format!("gateway-{n}.conf"));
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -115,10 +115,11 @@
     pub async fn start_groups(groups: usize) -> Deployment {
         let site = Site::start_groups(groups, RANKS).await;
         let site = site.expect("the stand-ins start");
+        let ip = site.gateway_address(0);
         let ports = free_ports(3).expect("three ports");
-        let callers: SocketAddr = ([127, 0, 2, 1], ports[0]).into();
-        let ready: SocketAddr = ([127, 0, 2, 1], ports[1]).into();
-        let metrics: SocketAddr = ([127, 0, 2, 1], ports[2]).into();
+        let callers: SocketAddr = (ip, ports[0]).into();
+        let ready: SocketAddr = (ip, ports[1]).into();
+        let metrics: SocketAddr = (ip, ports[2]).into();
         let ports = GatewayAddresses {
             callers,
             ready,
