Log the prompt of broken attempts and check whether the server crashed

attempt_broken now states the shared parts of the prompt and the stage of the attempt; server_checked states whether a process still listens at the server's address, and siskinbend_server_crashes_total counts those that don't. No decision uses them yet.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod connection;
 mod pool;
+mod probe;
 
 pub use body::BodyBudget;
 pub use body::read_body;
@@ -14,3 +15,5 @@
 pub use connection::Connection;
 pub use connection::ConnectionError;
 pub use pool::ConnectionPool;
+pub use probe::Reachability;
+pub use probe::probe;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! The state machines are pure: the caller passes in time and random numbers.
 
 pub mod admission;
+pub mod crashes;
 pub mod group_limits;
 pub mod health;
 pub mod limit;
@@ -20,6 +21,7 @@
 pub use admission::Queue;
 pub use admission::RequestInfo;
 pub use admission::WaiterId;
+pub use crashes::AttemptStage;
 pub use group_limits::GroupLimits;
 pub use limit::ConcurrencyLimit;
 pub use liveness::LivenessTracker;
--- a/crates/site/src/headers.rs
+++ b/crates/site/src/headers.rs
@@ -6,6 +6,7 @@
 use siskinbend_routing::LoadReport;
 use siskinbend_types::AgentId;
 use siskinbend_types::Organisation;
+use siskinbend_types::PromptPart;
 use smol_str::SmolStr;
 
 /// Decoded headers of a caller's request.
@@ -19,6 +20,15 @@
     pub key: Option<SmolStr>,
     /// Id of the last stream event that the caller received.
     pub last_event: Option<SmolStr>,
+    /// Parts of the prompt in order; the last one belongs to this request or its session.
+    pub prompt: Vec<PromptPart>,
+}
+
+impl RequestHead {
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// Values that the gateway adds to the headers of a forwarded request.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,6 +18,7 @@
 pub use name::EngineGroup;
 pub use name::GroupName;
 pub use name::Organisation;
+pub use name::PromptPart;
 pub use name::ServiceName;
 pub use name::VmId;
 pub use name::Zone;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -87,27 +87,42 @@
     AgentId
 );
 
-/// Name of an engine group, as its ranks report it; any text. A service can have
-/// several groups.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EngineGroup(SmolStr);
-
-impl fmt::Display for EngineGroup {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
+/// Defines a newtype over a text that another system chooses, without restrictions.
+macro_rules! free_text {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        pub struct $name(SmolStr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
 
-impl FromStr for EngineGroup {
-    type Err = Infallible;
+        impl FromStr for $name {
+            type Err = Infallible;
 
-    fn from_str(text: &str) -> Result<Self, Infallible> {
-        Ok(Self(SmolStr::new(text)))
-    }
-}
+            fn from_str(text: &str) -> Result<Self, Infallible> {
+                Ok(Self(SmolStr::new(text)))
+            }
+        }
 
-impl From<SmolStr> for EngineGroup {
-    fn from(name: SmolStr) -> Self {
-        Self(name)
-    }
+        impl From<SmolStr> for $name {
+            fn from(name: SmolStr) -> Self {
+                Self(name)
+            }
+        }
+    };
 }
+
+free_text!(
+    /// Name of an engine group, as its ranks report it. A service can have several groups.
+    EngineGroup
+);
+free_text!(
+    /// Id of one part of a prompt, as callers state it. Prompts with the same text share parts.
+    PromptPart
+);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
+use siskinbend_routing::AttemptStage;
 use siskinbend_site::ForwardHead;
 use siskinbend_site::RequestHead;
 use siskinbend_site::ResponseHead;
@@ -33,6 +34,7 @@
 use smol_str::SmolStr;
 
 use super::Gateway;
+use super::crashes;
 use super::fleet::AdmissionPermit;
 use super::fleet::AttemptGuard;
 use super::fleet::Target;
@@ -241,6 +243,9 @@
                 error:% = error;
                 "attempt_failed"
             );
+            if failure == AttemptFailure::ConnectionLost {
+                crashes::record_loss(gateway, call, &attempt.target, AttemptStage::Waiting);
+            }
             attempt.finish(match failure {
                 AttemptFailure::Stalled => AttemptResult::Stalled,
                 _ => AttemptResult::Failed,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
@@ -50,6 +51,7 @@
     pub event_gap: Histogram,
     /// Time to the end of the response.
     pub total: Histogram,
+    crashes: Family<ServiceLabels, Counter>,
     config_version: Gauge,
     config_age: SecondsGauge,
     servers: Family<ServiceLabels, Gauge>,
@@ -68,6 +70,7 @@
             first_event: register_latency(all, "first_event_seconds", "Time to the first event"),
             event_gap: register_latency(all, "pause_seconds", "Time between two events"),
             total: register_latency(all, "answer_seconds", "Time to the end of the answer"),
+            crashes: register(all, "server_crashes", "Crashes of backend servers"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
             servers: register(all, "servers", "Known backend servers"),
@@ -87,6 +90,14 @@
 }
 
 impl Metrics {
+    /// Counts a crash of a backend server.
+    pub fn record_crash(&self, service: &ServiceName) {
+        let labels = ServiceLabels {
+            service: service.to_string(),
+        };
+        self.crashes.get_or_create(&labels).inc();
+    }
+
     /// Sets the gauges to the current state; `age` is the time in seconds since the configuration
     /// was confirmed.
     pub fn update_gauges(&self, version: u64, age: f64, states: &[ServiceState]) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod buffered;
+mod crashes;
 mod fleet;
 mod handler;
 mod loads;
@@ -34,6 +35,7 @@
 use crate::platform;
 use crate::shutdown::Shutdown;
 
+use crashes::CrashChecks;
 use fleet::Fleet;
 use metrics::Metrics;
 
@@ -64,6 +66,7 @@
     bodies: BodyBudget,
     view: Mutex<DeploymentView>,
     fleet: Mutex<Fleet>,
+    crash_checks: CrashChecks,
 }
 
 /// Why a gateway cannot start.
@@ -141,6 +144,7 @@
         bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
         clock: BootClock,
         metrics: Metrics::default(),
+        crash_checks: CrashChecks::default(),
         shutdown,
         settings,
         adapter,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use siskinbend_request::EventBuffer;
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
+use siskinbend_routing::AttemptStage;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
 
@@ -27,6 +28,7 @@
 use super::attempt::strip_hop_by_hop;
 use super::attempt::wait_until_stalled;
 use super::buffered;
+use super::crashes;
 use super::fleet::AdmissionPermit;
 use super::fleet::AttemptGuard;
 use super::fleet::Target;
@@ -46,6 +48,8 @@
     attempt: AttemptGuard,
     connection: Option<Connection>,
     body: Incoming,
+    /// Number of parts of the body that arrived from the current backend server.
+    parts_read: u32,
     /// Whether the time to the first event was recorded, or cannot be because the stream was
     /// resumed.
     has_first_event: bool,
@@ -111,6 +115,7 @@
         attempt: pending.attempt,
         connection: Some(pending.connection),
         body,
+        parts_read: 0,
         has_first_event: false,
         last_data_at: None,
         is_finished: false,
@@ -154,6 +159,10 @@
                         _ => AttemptResult::Failed,
                     });
                     let target = self.attempt.target.clone();
+                    if failure == AttemptFailure::ConnectionLost {
+                        let stage = AttemptStage::of_stream(self.parts_read);
+                        crashes::record_loss(&self.gateway, &self.call, &target, stage);
+                    }
                     let resumed = match self.check_retry(&target, failure) {
                         Ok(()) => self.resume(failure.reason()).await,
                         Err(reason) => Err(reason),
@@ -199,6 +208,7 @@
             Some(Err(_)) => return StreamPart::Failed(AttemptFailure::ConnectionLost),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
+        self.parts_read += 1;
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet();
         fleet.record_activity(&self.attempt.target, now);
@@ -294,6 +304,7 @@
                     self.attempt = pending.attempt;
                     self.connection = Some(pending.connection);
                     self.body = pending.response.into_body();
+                    self.parts_read = 0;
                     // The first event after a resume is no measure of latency for new requests.
                     self.has_first_event = true;
                     return Ok(());
--- a/tests/integration/platform_formats.rs
+++ b/tests/integration/platform_formats.rs
@@ -142,6 +142,24 @@
     assert_eq!(text("x-request-id"), Some("abc"));
 }
 
+/// Guards against taking the part of a single request for one that requests share, and against
+/// losing the order of the parts.
+#[test]
+fn prompt_parts_are_read() {
+    let shared = |value: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-prompt-prefix", HeaderValue::from_static(value));
+        let request = PlatformHeaders.decode_request(&headers);
+        let parts = request.shared_parts().iter();
+        parts.map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(shared("5c1e:800,91bd:410,e440:250"), ["5c1e", "91bd"]);
+    assert_eq!(shared(" 5c1e , e440:250,"), ["5c1e"]);
+    for single in ["e440:250", ",", ""] {
+        assert!(shared(single).is_empty(), "{single}");
+    }
+}
+
 /// Guards against treating a response as "not run" without the header or status that proves it.
 #[test]
 fn not_run_needs_proof() {
