--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -62,7 +62,7 @@
         "server_checked"
     );
     if reachability == Reachability::NotListening {
-        gateway.metrics.record_crash(&target.service);
+        gateway.metrics.crashes.inc();
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -51,7 +51,8 @@
     pub event_gap: Histogram,
     /// Time to the end of the response.
     pub total: Histogram,
-    crashes: Family<ServiceLabels, Counter>,
+    /// Crashes of backend servers.
+    pub crashes: Counter,
     config_version: Gauge,
     config_age: SecondsGauge,
     servers: Family<ServiceLabels, Gauge>,
@@ -90,14 +91,6 @@
 }
 
 impl Metrics {
-    /// Counts a crash of a backend server.
-    pub fn record_crash(&self, service: &ServiceName) {
-        let labels = ServiceLabels {
-            service: service.to_string(),
-        };
-        self.crashes.get_or_create(&labels).inc();
-    }
-
     /// Sets the gauges to the current state; `age` is the time in seconds since the configuration
     /// was confirmed.
     pub fn update_gauges(&self, version: u64, age: f64, states: &[ServiceState]) {
