--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -25,6 +25,8 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 
 /// Delay before the next accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -83,15 +85,30 @@
 /// # Errors
 /// The address cannot be bound.
 pub async fn spawn_at(address: SocketAddr, router: Router) -> io::Result<SocketAddr> {
+    let (address, _) = spawn_abortable(address, router).await?;
+    Ok(address)
+}
+
+/// Serves `router` on `address` in the background. Aborting the task closes the listener and all
+/// connections, as a crash of the process would.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn spawn_abortable(
+    address: SocketAddr,
+    router: Router,
+) -> io::Result<(SocketAddr, AbortHandle)> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    tokio::spawn(serve(listener, router));
-    Ok(address)
+    let task = tokio::spawn(serve(listener, router));
+    Ok((address, task.abort_handle()))
 }
 
 /// Accepts connections forever.
 async fn serve(listener: TcpListener, router: Router) -> Infallible {
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         let Ok((socket, _)) = listener.accept().await else {
             // Accept fails when no file descriptors are left. The delay avoids a busy loop until
             // some are closed.
@@ -111,7 +128,7 @@
                 }
             }
         });
-        tokio::spawn(async move {
+        connections.spawn(async move {
             // An error only means that the peer or an injected fault has closed the connection.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/standins/src/site/check.rs
+++ b/crates/standins/src/site/check.rs
@@ -65,6 +65,17 @@
 
     /// Sends one request and reads the complete answer.
     pub async fn call(&self, gateway: SocketAddr, path: &str, id: &str) -> Answer {
+        self.call_with_prompt(gateway, path, id, "own:10").await
+    }
+
+    /// Sends one request with the given parts of a prompt and reads the complete answer.
+    pub async fn call_with_prompt(
+        &self,
+        gateway: SocketAddr,
+        path: &str,
+        id: &str,
+        prompt: &str,
+    ) -> Answer {
         let no_answer = Answer {
             status: None,
             body: None,
@@ -83,6 +94,7 @@
             .header("authorization", format!("Bearer {}", self.key))
             .header("x-request-id", id)
             .header("x-deadline-ms", "3000")
+            .header("x-prompt-prefix", prompt)
             .body(Full::new(Bytes::new()));
         let Ok(request) = request else {
             return no_answer;
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -141,9 +141,10 @@
             // Groups alternate, so that the addresses of their ranks are mixed.
             let membership = Some((Arc::clone(&groups[n % groups.len()]), n / groups.len()));
             let replica = Arc::new(Replica::new(format!("i-draft{n}"), membership));
-            let router = Arc::clone(&replica).build_router();
-            let address = server::spawn_at((vm_address(subnet, n), 0).into(), router).await?;
-            store.register_replica(&replica.id, "drafts", address);
+            let (registry, id) = (Arc::clone(&store), replica.id.clone());
+            let register = move |address| registry.register_replica(&id, "drafts", address);
+            let address = (vm_address(subnet, n), 0).into();
+            Arc::clone(&replica).spawn(address, register).await?;
             model_replicas.push(replica);
         }
         store.put_json("op", "config", &build_config(1, &shape));
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -1,6 +1,9 @@
 //! Replica of a service on the users' platform: plain answers, event streams and a rank's orders.
 
 use std::collections::HashMap;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -17,20 +20,27 @@
 use axum::routing::get;
 use axum::routing::post;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
 use futures::stream::unfold;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 
 use super::ranks::Group;
 use crate::counters::lock;
 use crate::server::DroppedResponse;
+use crate::server::spawn_abortable;
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 8;
 /// Delay before each event.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from a crash to the next start.
+const RESTART_DELAY: Duration = Duration::from_millis(400);
 
 /// Replica with an HTTP interface and settings for fault injection.
 pub struct Replica {
@@ -45,6 +55,13 @@
     pub overloaded: AtomicBool,
     /// Closes the connection instead of answering, after the request was executed.
     pub lose_answers: AtomicBool,
+    /// Part of a prompt on which the replica crashes as soon as it begins to answer.
+    pub crash_part: Mutex<Option<String>>,
+    /// Number of crashes.
+    pub crashes: AtomicU32,
+    crashed: Notify,
+    /// Ids of the requests that arrived with [`crash_part`](Self::crash_part) in their prompt.
+    crash_requests: Mutex<Vec<String>>,
     /// Streams dropped before their end because the connection was closed.
     pub disconnects: AtomicU32,
 }
@@ -75,10 +92,71 @@
             cut_after: AtomicU32::new(0),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
+            crash_part: Mutex::default(),
+            crashes: AtomicU32::new(0),
+            crashed: Notify::new(),
+            crash_requests: Mutex::default(),
             disconnects: AtomicU32::new(0),
         }
     }
 
+    /// Serves the replica at `address`, and restarts it there some time after each crash. `register`
+    /// is called with the address at each start.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn spawn<Register>(
+        self: Arc<Self>,
+        address: SocketAddr,
+        register: Register,
+    ) -> io::Result<()>
+    where
+        Register: Fn(SocketAddr) + Send + 'static,
+    {
+        let router = Arc::clone(&self).build_router();
+        let (address, mut server) = spawn_abortable(address, router).await?;
+        register(address);
+        tokio::spawn(async move {
+            loop {
+                self.crashed.notified().await;
+                server.abort();
+                self.crashes.fetch_add(1, Ordering::Relaxed);
+                server = self.restart(address).await;
+                register(address);
+            }
+        });
+        Ok(())
+    }
+
+    /// Starts the replica again some time after a crash.
+    async fn restart(self: &Arc<Self>, address: SocketAddr) -> AbortHandle {
+        loop {
+            tokio::time::sleep(RESTART_DELAY).await;
+            let router = Arc::clone(self).build_router();
+            // The address may still be in use by the earlier run.
+            if let Ok((_, server)) = spawn_abortable(address, router).await {
+                return server;
+            }
+        }
+    }
+
+    /// Returns the ids of the requests that arrived with the part on which the replica crashes.
+    pub fn crash_requests(&self) -> Vec<String> {
+        lock(&self.crash_requests).clone()
+    }
+
+    /// Returns whether the replica crashes on a request with these headers.
+    fn crashes_on(&self, headers: &HeaderMap) -> bool {
+        let part = lock(&self.crash_part).clone();
+        let prompt = headers.get("x-prompt-prefix").and_then(|v| v.to_str().ok());
+        let (Some(part), Some(prompt)) = (part, prompt) else {
+            return false;
+        };
+        let parts: Vec<&str> = prompt.split(',').collect();
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().any(|p| p.split(':').next() == Some(&part))
+    }
+
     /// Returns the number of executions by request id.
     pub fn runs(&self) -> HashMap<String, u32> {
         lock(&self.runs).clone()
@@ -125,7 +203,10 @@
         .and_then(|n| n.parse().ok())
         .unwrap_or(0);
     let stream = request.uri().path().starts_with("/draft/");
-    let body = if stream {
+    let body = if replica.crashes_on(&headers) {
+        lock(&replica.crash_requests).push(id.clone());
+        crash_in_stream(&replica)
+    } else if stream {
         stream_events(&replica, after)
     } else {
         Body::from(format!("{{\"done\":\"{id}\"}}"))
@@ -138,6 +219,18 @@
     (head, body).into_response()
 }
 
+/// Begins an answer, and crashes in the middle of the first event.
+fn crash_in_stream(replica: &Arc<Replica>) -> Body {
+    let replica = Arc::clone(replica);
+    let beginning = async { Ok::<_, DroppedResponse>(Bytes::from_static(b"id: 1\nda")) };
+    let crash = async move {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        replica.crashed.notify_one();
+        pending().await
+    };
+    Body::from_stream(beginning.into_stream().chain(crash.into_stream()))
+}
+
 fn stream_events(replica: &Arc<Replica>, after: u32) -> Body {
     if let Some((group, rank)) = &replica.group {
         group.record_request(*rank);
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use axum::Json;
 use axum::Router;
@@ -101,9 +103,11 @@
         });
     }
 
-    /// Adds a replica in state `ready` to the table of servers.
+    /// Adds a replica in state `ready` to the table of servers, as started now.
     pub fn register_replica(&self, id: &str, service: &str, address: SocketAddr) {
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "a",
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = since_epoch.unwrap_or_default().as_millis() as u64;
+        let entry = json!({"born": born,"service": service, "address": address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1});
         self.put_json("servers", id, &entry);
     }
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -98,6 +98,40 @@
     }
 }
 
+/// A gateway under test and its addresses.
+pub struct Gateway {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Gateway {
+    /// Starts gateway `n` of a site and waits until it is ready.
+    pub async fn start(site: &Site, n: usize) -> Gateway {
+        let ip = site.gateway_address(n);
+        let ports = free_ports(3).expect("three ports");
+        let callers: SocketAddr = (ip, ports[0]).into();
+        let ready: SocketAddr = (ip, ports[1]).into();
+        let metrics: SocketAddr = (ip, ports[2]).into();
+        let addresses = GatewayAddresses {
+            callers,
+            ready,
+            metrics_port: metrics.port(),
+        };
+        let mut process = Process::start("gateway", &site.gateway_settings(n, &addresses));
+        if let Err(error) = wait_until_ready(ready, READY_TIMEOUT).await {
+            panic!("{error}: {}", process.describe());
+        }
+        Gateway {
+            process,
+            callers,
+            ready,
+            metrics,
+        }
+    }
+}
+
 /// A gateway under test with the stand-ins of its platform.
 pub struct Deployment {
     pub site: Site,
@@ -115,26 +149,13 @@
     pub async fn start_groups(groups: usize) -> Deployment {
         let site = Site::start_groups(groups, RANKS).await;
         let site = site.expect("the stand-ins start");
-        let ip = site.gateway_address(0);
-        let ports = free_ports(3).expect("three ports");
-        let callers: SocketAddr = (ip, ports[0]).into();
-        let ready: SocketAddr = (ip, ports[1]).into();
-        let metrics: SocketAddr = (ip, ports[2]).into();
-        let ports = GatewayAddresses {
-            callers,
-            ready,
-            metrics_port: metrics.port(),
-        };
-        let mut gateway = Process::start("gateway", &site.gateway_settings(1, &ports));
-        if let Err(error) = wait_until_ready(ready, READY_TIMEOUT).await {
-            panic!("{error}: {}", gateway.describe());
-        }
+        let gateway = Gateway::start(&site, 0).await;
         Deployment {
             site,
-            gateway,
-            callers,
-            ready,
-            metrics,
+            gateway: gateway.process,
+            callers: gateway.callers,
+            ready: gateway.ready,
+            metrics: gateway.metrics,
         }
     }
 
