Block prompt parts that crash replicas

Cause: nothing linked a crash to what the replica was running. Every gateway sent such requests on, and again after the crash. The class of fault is a request that kills its server: retries and load balancing spread it.

Change: a gateway checks a server whose connections broke. If it no longer listens, the requests that it had become evidence, which the gateways share in a table of the platform's store. A part that was at three crashes at which its answers had just begun (or four at which they were waiting), half a second or more apart, and in no answered request, is blocked for ten minutes; a part that was answered before needs one more. Of parts with the same evidence the latest in the prompt is blocked, and crashes that it accounts for are no evidence against the parts before it, which sound requests share. Requests with a blocked part are refused as not run, with the time until the block ends.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -1,23 +1,51 @@
-//! Crashes of backend servers, and the requests that may have caused them.
+//! Finds parts of prompts that crash backend servers, and blocks them.
+//!
+//! A backend server that crashes takes all of its requests with it, and one gateway sees only those
+//! that it sent. The tracker compares the requests of several crashes, also of those that other
+//! gateways reported: a part that was at every crash and in no request that was answered is blocked.
+//! The last part of a prompt belongs to one request and is not compared.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::fmt;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use siskinbend_types::AgentId;
+use siskinbend_types::Incarnation;
+use siskinbend_types::PromptPart;
+use siskinbend_types::ServiceName;
+use siskinbend_types::Time;
+use smol_str::SmolStr;
 
 /// Number of parts of a stream that can arrive before the backend server has written the first
 /// answer tokens of all requests that it started together.
 const MAX_STARTING_PARTS: u32 = 2;
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of requests that are remembered of one crash.
+const MAX_SUSPECTS: usize = 256;
+/// Number of answered parts after which the older half is forgotten.
+const MAX_ANSWERED_PARTS: usize = 4_096;
+
+/// Weight of a crash at which an answer with the part had just begun.
+const STARTING_WEIGHT: u32 = 4;
+/// Weight of a crash at which a request with the part was only waiting. Its answer may have begun
+/// without the gateway having seen it.
+const WAITING_WEIGHT: u32 = 3;
 
 /// Progress of an attempt when its connection broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptStage {
-    /// The answer was well under way.
-    Streaming,
     /// The answer had not begun.
     Waiting,
     /// The answer had just begun.
     Starting,
+    /// The answer was well under way.
+    Streaming,
 }
 
 impl AttemptStage {
@@ -28,6 +56,16 @@
             false => AttemptStage::Streaming,
         }
     }
+
+    /// Weight of a crash as evidence against the request's parts. A server that has already written
+    /// some of an answer does not crash because of it.
+    fn weight(self) -> u32 {
+        match self {
+            AttemptStage::Waiting => WAITING_WEIGHT,
+            AttemptStage::Starting => STARTING_WEIGHT,
+            AttemptStage::Streaming => 0,
+        }
+    }
 }
 
 impl fmt::Display for AttemptStage {
@@ -39,3 +77,271 @@
         })
     }
 }
+
+/// Request that a backend server had when it crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Id of the request.
+    pub request: SmolStr,
+    /// Parts of its prompt that other requests may share, in order.
+    pub parts: Vec<PromptPart>,
+    /// Progress of the attempt.
+    pub stage: AttemptStage,
+}
+
+/// Crash of a backend server with the requests that one gateway had sent to it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The backend server.
+    pub server: AgentId,
+    /// The run of the server that ended.
+    pub incarnation: Incarnation,
+    /// Service of the server.
+    pub service: ServiceName,
+    /// Requests whose connection broke.
+    pub suspects: Vec<Suspect>,
+}
+
+/// Settings of a crash tracker.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Weight of crashes that blocks a part of which no answer is known.
+    pub unknown_threshold: u32,
+    /// Weight of crashes that blocks a part that was answered before them.
+    pub answered_threshold: u32,
+    /// Time within which several crashes count once, because they may have a common cause such as
+    /// the loss of a rack.
+    pub episode: Duration,
+    /// Time for which crashes and answers are remembered, and for which a part stays blocked.
+    pub retention: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            unknown_threshold: 3 * STARTING_WEIGHT,
+            answered_threshold: 4 * STARTING_WEIGHT,
+            episode: Duration::from_millis(500),
+            retention: Duration::from_secs(600),
+        }
+    }
+}
+
+/// Part that has become blocked, and what it was blocked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BlockedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Weight of the crashes.
+    pub weight: u32,
+    /// Servers that crashed.
+    pub servers: Vec<AgentId>,
+}
+
+#[derive(Debug)]
+struct Crash {
+    server: AgentId,
+    incarnation: Incarnation,
+    at: Time,
+    suspects: Vec<Suspect>,
+}
+
+impl Crash {
+    /// Returns the weight of this crash against a part.
+    fn weigh(&self, part: &PromptPart) -> u32 {
+        let with_part = self.suspects.iter().filter(|s| s.parts.contains(part));
+        with_part.map(|s| s.stage.weight()).max().unwrap_or(0)
+    }
+
+    fn is_explained(&self, blocked: &BTreeMap<PromptPart, Time>) -> bool {
+        blocked.keys().any(|part| self.weigh(part) > 0)
+    }
+}
+
+/// Latest request with each part that was answered completely. It forgets the parts that were not
+/// answered for the longest time.
+#[derive(Debug, Default)]
+struct AnsweredParts {
+    recent: HashMap<PromptPart, Time>,
+    older: HashMap<PromptPart, Time>,
+}
+
+impl AnsweredParts {
+    fn record(&mut self, part: &PromptPart, sent_at: Time) {
+        let latest = self.find(part).map_or(sent_at, |known| known.max(sent_at));
+        self.recent.insert(part.clone(), latest);
+        if self.recent.len() >= MAX_ANSWERED_PARTS / 2 {
+            self.older = std::mem::take(&mut self.recent);
+        }
+    }
+
+    /// Returns when the latest answered request with a part was sent.
+    fn find(&self, part: &PromptPart) -> Option<Time> {
+        let (recent, older) = (self.recent.get(part), self.older.get(part));
+        recent.max(older).copied()
+    }
+}
+
+/// Evidence against one part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Evidence {
+    weight: u32,
+    is_unknown: bool,
+    /// Position in the prompt; later parts are more specific.
+    depth: usize,
+}
+
+/// Tracks crashes of backend servers and blocks the prompt parts that cause them.
+#[derive(Debug, Default)]
+pub struct CrashTracker {
+    settings: Settings,
+    crashes: VecDeque<Crash>,
+    answered: AnsweredParts,
+    /// Blocked parts with the end of the block.
+    blocked: BTreeMap<PromptPart, Time>,
+}
+
+impl CrashTracker {
+    /// Creates a tracker without crashes.
+    pub fn new(settings: Settings) -> CrashTracker {
+        CrashTracker {
+            settings,
+            ..CrashTracker::default()
+        }
+    }
+
+    /// Records a crash at the time `at`; several reports of the same crash are merged. Returns the
+    /// parts that it has blocked.
+    pub fn record_crash(&mut self, report: CrashReport, at: Time, now: Time) -> Vec<BlockedPart> {
+        self.forget_old(now);
+        if now.since(at) >= self.settings.retention {
+            return Vec::new();
+        }
+        self.merge(report, at);
+        self.block_causes(now)
+    }
+
+    /// Records that a request with these shared parts, sent at `sent_at`, was answered completely.
+    pub fn record_answer(&mut self, parts: &[PromptPart], sent_at: Time) {
+        for part in parts {
+            self.answered.record(part, sent_at);
+        }
+    }
+
+    /// Returns a blocked part of a prompt and the time until the end of its block.
+    pub fn find_blocked(&self, parts: &[PromptPart], now: Time) -> Option<(PromptPart, Duration)> {
+        let blocked = parts.iter().filter_map(|part| {
+            let until = *self.blocked.get(part)?;
+            (now < until).then(|| (part.clone(), until.since(now)))
+        });
+        blocked.max_by_key(|(_, left)| *left)
+    }
+
+    /// Returns the number of blocked parts.
+    pub fn count_blocked(&self, now: Time) -> usize {
+        self.blocked.values().filter(|until| now < **until).count()
+    }
+
+    fn forget_old(&mut self, now: Time) {
+        let retention = self.settings.retention;
+        self.crashes.retain(|c| now.since(c.at) < retention);
+        self.blocked.retain(|_, until| now < *until);
+    }
+
+    fn merge(&mut self, report: CrashReport, at: Time) {
+        let is_same =
+            |c: &&mut Crash| c.server == report.server && c.incarnation == report.incarnation;
+        if let Some(crash) = self.crashes.iter_mut().find(is_same) {
+            let new = report.suspects.into_iter();
+            let new: Vec<Suspect> = new.filter(|s| !crash.suspects.contains(s)).collect();
+            crash.suspects.extend(new);
+            crash.suspects.truncate(MAX_SUSPECTS);
+            crash.at = crash.at.min(at);
+            return;
+        }
+        let mut suspects = report.suspects;
+        suspects.truncate(MAX_SUSPECTS);
+        self.crashes.push_back(Crash {
+            server: report.server,
+            incarnation: report.incarnation,
+            at,
+            suspects,
+        });
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Blocks the parts that account for the most crashes, one after the other. Crashes that a
+    /// blocked part accounts for are no evidence against the other parts of its requests.
+    fn block_causes(&mut self, now: Time) -> Vec<BlockedPart> {
+        let mut causes = Vec::new();
+        while let Some((part, evidence)) = self.find_cause() {
+            let servers = self.unexplained().filter(|c| c.weigh(&part) > 0);
+            causes.push(BlockedPart {
+                part: part.clone(),
+                weight: evidence.weight,
+                servers: servers.map(|c| c.server.clone()).collect(),
+            });
+            self.blocked.insert(part, now + self.settings.retention);
+        }
+        causes
+    }
+
+    fn unexplained(&self) -> impl Iterator<Item = &Crash> {
+        let blocked = &self.blocked;
+        self.crashes.iter().filter(|c| !c.is_explained(blocked))
+    }
+
+    /// Returns the part with the most evidence against it, if that is enough to block it.
+    fn find_cause(&self) -> Option<(PromptPart, Evidence)> {
+        let parts: BTreeSet<&PromptPart> = self
+            .unexplained()
+            .flat_map(|c| &c.suspects)
+            .flat_map(|s| &s.parts)
+            .collect();
+        let weighed = parts.into_iter().map(|part| (part, self.weigh(part)));
+        let is_enough = |evidence: &Evidence| {
+            let settings = &self.settings;
+            evidence.weight
+                >= match evidence.is_unknown {
+                    true => settings.unknown_threshold,
+                    false => settings.answered_threshold,
+                }
+        };
+        let guilty = weighed.filter(|(_, evidence)| is_enough(evidence));
+        let worst = guilty.max_by_key(|(_, evidence)| *evidence);
+        worst.map(|(part, evidence)| (part.clone(), evidence))
+    }
+
+    /// Weighs the evidence against a part. Crashes before an answered request with the part was sent
+    /// don't count.
+    fn weigh(&self, part: &PromptPart) -> Evidence {
+        let answered = self.answered.find(part);
+        let mut crashes: Vec<&Crash> = self
+            .unexplained()
+            .filter(|c| c.weigh(part) > 0 && answered.is_none_or(|sent_at| c.at > sent_at))
+            .collect();
+        crashes.sort_by_key(|c| c.at);
+        let mut episodes: Vec<(Time, u32)> = Vec::new();
+        for crash in &crashes {
+            let weight = crash.weigh(part);
+            match episodes.last_mut() {
+                Some((start, most)) if crash.at.since(*start) < self.settings.episode => {
+                    *most = weight.max(*most);
+                }
+                _ => episodes.push((crash.at, weight)),
+            }
+        }
+        let position = |s: &Suspect| s.parts.iter().position(|p| p == part);
+        let depths = crashes
+            .iter()
+            .flat_map(|c| &c.suspects)
+            .filter_map(position);
+        Evidence {
+            weight: episodes.iter().map(|(_, weight)| weight).sum(),
+            is_unknown: answered.is_none(),
+            depth: depths.max().unwrap_or(0),
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub use admission::RequestInfo;
 pub use admission::WaiterId;
 pub use crashes::AttemptStage;
+pub use crashes::CrashTracker;
 pub use group_limits::GroupLimits;
 pub use limit::ConcurrencyLimit;
 pub use liveness::LivenessTracker;
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Source`], [`HeaderCodec`] and [`Engine`].
 
 pub mod config;
+pub mod crash_log;
 pub mod engine;
 pub mod headers;
 pub mod server;
@@ -15,6 +16,8 @@
 pub use config::RequestKind;
 pub use config::Route;
 pub use config::Service;
+pub use crash_log::CrashEntry;
+pub use crash_log::CrashLog;
 pub use engine::Engine;
 pub use headers::ForwardHead;
 pub use headers::HeaderCodec;
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -15,6 +15,7 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use axum::routing::post;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http::StatusCode;
@@ -82,6 +83,20 @@
     wait_ms: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct RowChange {
+    table: String,
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    writes: Vec<RowChange>,
+    remove: Vec<RowChange>,
+}
+
 impl Store {
     /// Writes a row with a JSON value.
     pub fn put_json(&self, table: &str, key: &str, value: &Value) {
@@ -144,6 +159,7 @@
         Router::new()
             .route("/rows-get", get(read_rows))
             .route("/rows-feed", get(feed_rows))
+            .route("/rows-tx", post(change_rows))
             .with_state(self)
     }
 
@@ -185,6 +201,30 @@
     }
 }
 
+/// Applies a transaction that expects no versions.
+async fn change_rows(
+    State(store): State<Arc<Store>>,
+    Json(transaction): Json<Transaction>,
+) -> Response {
+    if let Some(answer) = store.injected_answer().await {
+        return answer;
+    }
+    let is_operators = |r: &RowChange| r.table == "op" || r.table == "servers";
+    let changes = || transaction.writes.iter().chain(&transaction.remove);
+    if changes().any(is_operators) {
+        return StatusCode::FORBIDDEN.into_response();
+    }
+    for change in changes() {
+        let value = change.value.as_ref().map(|v| STANDARD.decode(v));
+        match value.transpose() {
+            Ok(value) => store.write(&change.table, &change.key, value),
+            Err(_) => return StatusCode::BAD_REQUEST.into_response(),
+        }
+    }
+    let version = *store.version.borrow();
+    Json(json!({"schemaVersion": version, "nowMs": 1})).into_response()
+}
+
 async fn read_rows(State(store): State<Arc<Store>>, Query(query): Query<RowQuery>) -> Response {
     if let Some(answer) = store.injected_answer().await {
         return answer;
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -117,6 +117,8 @@
     BackendFailed => "backend_failed", 502, "The backend server failed.";
     /// A frame does not belong to the request.
     Protocol => "protocol", 502, "A peer sent a frame that doesn't belong to the request.";
+    /// Requests with the same prompt part have crashed replicas.
+    PromptBlocked => "prompt_blocked", 503, "Requests with a part of this prompt have crashed replicas.";
     /// The caller closed the connection.
     CallerGone => "caller_gone", 499, "The caller closed the connection.";
     /// The platform's table service is unavailable.
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -25,6 +25,12 @@
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the reading `duration` earlier, or the origin if that is later.
+    pub fn before(self, duration: Duration) -> Time {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Time {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -132,6 +132,10 @@
     last_event: Option<SmolStr>,
 ) -> Result<Result<PendingResponse, FailedAttempt>, Reason> {
     let now = gateway.now();
+    if let Some((part, _)) = gateway.crashes.find_blocked(call, now) {
+        log::info!(request:% = call.head.id, part:% = part; "prompt_refused");
+        return Err(Reason::PromptBlocked);
+    }
     let target = gateway
         .fleet()
         .choose(&call.service, attempts.tried(), permit, now)?;
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -122,6 +122,9 @@
         true => AttemptResult::Failed,
         false => AttemptResult::Ok { first_token },
     });
+    if !is_error {
+        gateway.crashes.record_answer(call, attempt.sent_at);
+    }
     gateway
         .fleet()
         .return_connection(&attempt.target.id, connection);
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,21 +1,35 @@
-//! Finds out whether a backend server whose connections broke has crashed.
+//! Finds out whether a backend server whose connections broke has crashed, and shares what it was
+//! running with the other gateways.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use siskinbend_link::Reachability;
 use siskinbend_link::probe;
 use siskinbend_routing::AttemptStage;
+use siskinbend_routing::CrashTracker;
+use siskinbend_routing::crashes;
+use siskinbend_routing::crashes::BlockedPart;
+use siskinbend_routing::crashes::CrashReport;
+use siskinbend_routing::crashes::Suspect;
+use siskinbend_site::CrashEntry;
+use siskinbend_site::SourceError;
+use siskinbend_site::Versioned;
 use siskinbend_types::AgentId;
 use siskinbend_types::PromptPart;
+use siskinbend_types::Time;
 use tokio::time::sleep;
 
 use super::Gateway;
 use super::attempt::Call;
 use super::fleet::Target;
+use super::store_watch::Backoff;
+use super::store_watch::Position;
 use crate::sync::lock;
 
 /// Delay of the check after the first broken connection. The other connections to a server that
@@ -23,11 +37,52 @@
 const CHECK_DELAY: Duration = Duration::from_millis(60);
 /// Timeout of the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Long-poll duration of a watch of the shared log. A connection that has gone silent is noticed
+/// after it.
+const LOG_POLL: Duration = Duration::from_secs(3);
+/// Delays before the log is written again after a failure.
+const WRITE_DELAYS: [Duration; 5] = [
+    Duration::from_millis(150),
+    Duration::from_millis(400),
+    Duration::from_secs(1),
+    Duration::from_secs(3),
+    Duration::from_secs(6),
+];
 
-/// Backend servers that are being checked.
+/// Crashes of backend servers, as far as this gateway knows.
 #[derive(Debug, Default)]
-pub(super) struct CrashChecks {
-    servers: Mutex<BTreeSet<AgentId>>,
+pub(super) struct Crashes {
+    /// Requests whose connection broke, by the backend server that is being checked.
+    pending: Mutex<BTreeMap<AgentId, Vec<Suspect>>>,
+    tracker: Mutex<CrashTracker>,
+}
+
+impl Crashes {
+    fn pending(&self) -> MutexGuard<'_, BTreeMap<AgentId, Vec<Suspect>>> {
+        lock(&self.pending)
+    }
+
+    fn tracker(&self) -> MutexGuard<'_, CrashTracker> {
+        lock(&self.tracker)
+    }
+
+    /// Returns a blocked part of a request's prompt and the time until the end of its block.
+    pub fn find_blocked(&self, call: &Call, now: Time) -> Option<(PromptPart, Duration)> {
+        self.tracker().find_blocked(call.head.shared_parts(), now)
+    }
+
+    /// Returns the number of blocked parts.
+    pub fn count_blocked(&self, now: Time) -> usize {
+        self.tracker().count_blocked(now)
+    }
+
+    /// Records that a request was answered completely by an attempt sent at `sent_at`.
+    pub fn record_answer(&self, call: &Call, sent_at: Time) {
+        let parts = call.head.shared_parts();
+        if !parts.is_empty() {
+            self.tracker().record_answer(parts, sent_at);
+        }
+    }
 }
 
 /// Records that the connection of an attempt broke, and starts a check of its backend server.
@@ -37,15 +92,23 @@
     target: &Target,
     stage: AttemptStage,
 ) {
+    let parts = call.head.shared_parts();
     log::info!(
         request:% = call.head.id,
         server:% = target.id,
         stage:% = stage,
-        prompt = join_parts(call.head.shared_parts());
+        prompt = join_parts(parts);
         "attempt_broken"
     );
-    let is_new = lock(&gateway.crash_checks.servers).insert(target.id.clone());
-    if is_new {
+    let suspect = Suspect {
+        request: call.head.id.clone(),
+        parts: parts.to_vec(),
+        stage,
+    };
+    let mut pending = gateway.crashes.pending();
+    let is_checked = pending.contains_key(&target.id);
+    pending.entry(target.id.clone()).or_default().push(suspect);
+    if !is_checked {
         tokio::spawn(check_server(Arc::clone(gateway), target.clone()));
     }
 }
@@ -53,17 +116,132 @@
 async fn check_server(gateway: Arc<Gateway>, target: Target) {
     sleep(CHECK_DELAY).await;
     let reachability = probe(target.address, CHECK_TIMEOUT).await;
-    lock(&gateway.crash_checks.servers).remove(&target.id);
+    let suspects = gateway.crashes.pending().remove(&target.id);
+    let suspects = suspects.unwrap_or_default();
+    // A server that is leaving exits when it has finished, and may be registered no longer.
+    let is_staying = gateway.fleet().is_ready(&target.id);
     log::info!(
         server:% = target.id,
         service:% = target.service,
         address:% = target.address,
-        found:% = reachability;
+        found:% = reachability,
+        leaving = !is_staying,
+        requests = suspects.len();
         "server_checked"
     );
-    if reachability == Reachability::NotListening {
+    if reachability == Reachability::NotListening && is_staying {
         gateway.metrics.crashes.inc();
+        let report = CrashReport {
+            server: target.id,
+            incarnation: target.incarnation,
+            service: target.service,
+            suspects,
+        };
+        report_crash(&gateway, report).await;
+    }
+}
+
+/// Records a crash and adds it to the log that the gateways share.
+async fn report_crash(gateway: &Arc<Gateway>, report: CrashReport) {
+    let now = gateway.now();
+    record_crash(gateway, report.clone(), now, now);
+    let is_evidence = |s: &Suspect| s.stage != AttemptStage::Streaming && !s.parts.is_empty();
+    let entry = CrashEntry {
+        reporter: gateway.settings.node.clone(),
+        reported_ms: unix_millis(),
+        report: CrashReport {
+            suspects: report.suspects.into_iter().filter(is_evidence).collect(),
+            ..report
+        },
+    };
+    if entry.report.suspects.is_empty() {
+        return;
     }
+    let mut delays = WRITE_DELAYS.iter();
+    while let Err(error) = gateway.adapter.crash_log.add(&entry).await {
+        log::warn!(server:% = entry.report.server, error:% = error; "crash_not_shared");
+        match delays.next() {
+            Some(delay) => sleep(*delay).await,
+            None => return,
+        }
+    }
+}
+
+fn record_crash(gateway: &Arc<Gateway>, report: CrashReport, at: Time, now: Time) {
+    let blocked = gateway.crashes.tracker().record_crash(report, at, now);
+    for BlockedPart {
+        part,
+        weight,
+        servers,
+    } in blocked
+    {
+        let servers: Vec<&str> = servers.iter().map(AgentId::as_str).collect();
+        log::warn!(part:% = part, weight, servers = servers.join(","); "prompt_part_blocked");
+    }
+}
+
+/// Watches the crashes that other gateways report.
+pub(super) async fn watch(gateway: Arc<Gateway>) {
+    let source = Arc::clone(&gateway.adapter.crash_log);
+    let mut position: Option<Position> = None;
+    let mut backoff = Backoff::new("crashes");
+    loop {
+        let current = position.filter(Position::is_current);
+        let response = match current {
+            Some(current) => source.watch(current.after, LOG_POLL).await,
+            None => source.read().await,
+        };
+        let now = gateway.now();
+        match response {
+            Ok(read) => {
+                backoff.reset(now);
+                position = Some(match current {
+                    Some(current) => current.advance(read.position),
+                    None => Position::of_read(read.position),
+                });
+                match current {
+                    Some(_) => apply_new(&gateway, read, now),
+                    None => apply_all(&gateway, read, now).await,
+                }
+            }
+            Err(SourceError::HistoryGone) => position = None,
+            Err(error) => backoff.wait(error, now).await,
+        }
+    }
+}
+
+/// Records crashes that were reported a moment ago.
+fn apply_new(gateway: &Arc<Gateway>, read: Versioned<Vec<CrashEntry>>, now: Time) {
+    for entry in read.content {
+        record_crash(gateway, entry.report, now, now);
+    }
+}
+
+/// Records all crashes of the log by their age, and removes those that no longer count.
+async fn apply_all(gateway: &Arc<Gateway>, read: Versioned<Vec<CrashEntry>>, now: Time) {
+    let unix_now = unix_millis();
+    let age =
+        |entry: &CrashEntry| Duration::from_millis(unix_now.saturating_sub(entry.reported_ms));
+    let retention = crashes::Settings::default().retention;
+    let (expired, recent): (Vec<_>, Vec<_>) =
+        read.content.into_iter().partition(|e| age(e) >= retention);
+    for entry in recent {
+        let at = now.before(age(&entry));
+        record_crash(gateway, entry.report, at, now);
+    }
+    if expired.is_empty() {
+        return;
+    }
+    match gateway.adapter.crash_log.remove(&expired).await {
+        Ok(()) => log::info!(count = expired.len(); "crash_entries_removed"),
+        Err(error) => log::warn!(error:% = error; "crash_entries_kept"),
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 only makes entries look old.
+    since_epoch.unwrap_or_default().as_millis() as u64
 }
 
 /// Writes the parts of a prompt for the log, separated by commas.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -102,6 +102,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Target {
     pub id: AgentId,
+    /// Run of the backend server.
+    pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub service: ServiceName,
     /// Lock-step group of the backend server, if it is known.
@@ -326,6 +328,7 @@
         let replica = self.replicas.get(&choice.agent).ok_or(Reason::NoReplica)?;
         Ok(Target {
             id: choice.agent,
+            incarnation: Incarnation(replica.server.started_ms),
             address: replica.server.address,
             service: service.clone(),
             group,
@@ -334,6 +337,12 @@
         })
     }
 
+    /// Whether a backend server is registered and accepts new requests.
+    pub fn is_ready(&self, id: &AgentId) -> bool {
+        let replica = self.replicas.get(id);
+        replica.is_some_and(|r| r.server.state == ServerState::Ready)
+    }
+
     /// Records the result of an attempt.
     pub fn record_result(&mut self, target: &Target, result: AttemptResult, now: Time) {
         self.service(&target.service)
@@ -536,6 +545,7 @@
 pub(super) struct AttemptGuard {
     gateway: Weak<Gateway>,
     pub target: Target,
+    pub sent_at: Time,
     is_finished: bool,
 }
 
@@ -544,6 +554,7 @@
         AttemptGuard {
             gateway: Arc::downgrade(gateway),
             target,
+            sent_at: gateway.now(),
             is_finished: false,
         }
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -17,6 +17,7 @@
 use siskinbend_site::config::KeyOwner;
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
+use siskinbend_types::Time;
 use tokio::time::timeout;
 
 use super::Gateway;
@@ -88,18 +89,21 @@
         .requests
         .record_request(call.service.as_str(), outcome);
     let retry_delay =
-        (outcome == Outcome::NotRun).then(|| find_retry_delay(reason, call.time_left(now)));
+        (outcome == Outcome::NotRun).then(|| find_retry_delay(gateway, call, reason, now));
     problem_response(reason, outcome, retry_delay)
 }
 
 /// Returns the delay after which the caller of a request that did not run should retry.
-fn find_retry_delay(reason: Reason, time_left: Duration) -> Duration {
+fn find_retry_delay(gateway: &Arc<Gateway>, call: &Call, reason: Reason, now: Time) -> Duration {
+    if let Some((_, blocked_for)) = gateway.crashes.find_blocked(call, now) {
+        return blocked_for;
+    }
     let cause = match reason {
         Reason::QueueFull | Reason::ShareExceeded => retry_after::RefusalCause::Overloaded,
         Reason::NoReplica | Reason::Draining => retry_after::RefusalCause::Closed,
         _ => retry_after::RefusalCause::Failure,
     };
-    retry_after::find_retry_delay(cause, time_left, rand::random())
+    retry_after::find_retry_delay(cause, call.time_left(now), rand::random())
 }
 
 async fn admit(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Reason> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 
 use siskinbend_link::BodyBudget;
 use siskinbend_site::Config;
+use siskinbend_site::CrashLog;
 use siskinbend_site::DeploymentView;
 use siskinbend_site::HeaderCodec;
 use siskinbend_site::NodeSettings;
@@ -35,7 +36,7 @@
 use crate::platform;
 use crate::shutdown::Shutdown;
 
-use crashes::CrashChecks;
+use crashes::Crashes;
 use fleet::Fleet;
 use metrics::Metrics;
 
@@ -50,6 +51,8 @@
 pub struct PlatformAdapter {
     /// Client of the platform's store.
     pub source: Arc<dyn Source>,
+    /// Log of crashes that the gateways share.
+    pub crash_log: Arc<dyn CrashLog>,
     /// Codec of the platform's HTTP headers.
     pub headers: Arc<dyn HeaderCodec>,
 }
@@ -66,7 +69,7 @@
     bodies: BodyBudget,
     view: Mutex<DeploymentView>,
     fleet: Mutex<Fleet>,
-    crash_checks: CrashChecks,
+    crashes: Crashes,
 }
 
 /// Why a gateway cannot start.
@@ -112,6 +115,8 @@
         };
         let states = self.fleet().list_states(now);
         self.metrics.update_gauges(version, age, &states);
+        let blocked = self.crashes.count_blocked(now);
+        self.metrics.blocked_parts.set(blocked as i64);
         self.metrics.encode()
     }
 
@@ -144,7 +149,7 @@
         bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
         clock: BootClock,
         metrics: Metrics::default(),
-        crash_checks: CrashChecks::default(),
+        crashes: Crashes::default(),
         shutdown,
         settings,
         adapter,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -11,6 +11,7 @@
 
 use super::Gateway;
 use super::REFRESH_INTERVAL;
+use super::crashes;
 
 /// Long-poll duration of a configuration watch. It must be shorter than the maximum age at which
 /// the configuration counts as fresh.
@@ -31,6 +32,7 @@
 pub(super) fn start(gateway: &Arc<Gateway>) {
     tokio::spawn(watch_config(Arc::clone(gateway)));
     tokio::spawn(watch_servers(Arc::clone(gateway)));
+    tokio::spawn(crashes::watch(Arc::clone(gateway)));
     tokio::spawn(refresh_periodically(Arc::clone(gateway)));
 }
 
@@ -47,26 +49,41 @@
 
 /// Position in the store's history, and time of the last complete read.
 #[derive(Debug, Clone, Copy)]
-struct Position {
-    after: u64,
+pub(super) struct Position {
+    pub after: u64,
     read_at: Instant,
 }
 
 impl Position {
-    fn is_current(&self) -> bool {
+    /// Creates the position of a complete read that has just ended.
+    pub fn of_read(after: u64) -> Position {
+        Position {
+            after,
+            read_at: Instant::now(),
+        }
+    }
+
+    /// Returns the position after a watch.
+    pub fn advance(self, after: u64) -> Position {
+        Position { after, ..self }
+    }
+
+    /// Whether the next complete read is not due yet.
+    pub fn is_current(&self) -> bool {
         self.read_at.elapsed() < RESYNC_INTERVAL
     }
 }
 
 /// Backoff and logging of consecutive failures of one watch.
-struct Backoff {
+pub(super) struct Backoff {
     matter: &'static str,
     delay: Duration,
     failing_since: Option<Time>,
 }
 
 impl Backoff {
-    fn new(matter: &'static str) -> Backoff {
+    /// Creates the backoff of the watch of `matter`.
+    pub fn new(matter: &'static str) -> Backoff {
         Backoff {
             matter,
             delay: MIN_BACKOFF,
@@ -74,7 +91,8 @@
         }
     }
 
-    fn reset(&mut self, now: Time) {
+    /// Records a successful call.
+    pub fn reset(&mut self, now: Time) {
         if let Some(since) = self.failing_since.take() {
             let outage = now.since(since).as_millis() as u64;
             log::info!(matter = self.matter, lost_ms = outage; "store_regained");
@@ -82,7 +100,8 @@
         self.delay = MIN_BACKOFF;
     }
 
-    async fn wait(&mut self, error: SourceError, now: Time) {
+    /// Records a failed call and waits before the next one.
+    pub async fn wait(&mut self, error: SourceError, now: Time) {
         if self.failing_since.is_none() {
             log::warn!(matter = self.matter, error:% = error; "store_lost");
             self.failing_since = Some(now);
@@ -107,12 +126,10 @@
         match response {
             Ok(read) => {
                 backoff.reset(now);
-                let read_at = match current {
-                    Some(current) => current.read_at,
-                    None => Instant::now(),
-                };
-                let after = read.position;
-                position = Some(Position { after, read_at });
+                position = Some(match current {
+                    Some(current) => current.advance(read.position),
+                    None => Position::of_read(read.position),
+                });
                 // A watch that ended without a change confirms the configuration for its duration.
                 let unchanged = current.is_some() && read.content.is_none();
                 let confirmed_at = match unchanged && now.since(requested_at) >= CONFIG_POLL {
@@ -152,19 +169,19 @@
                 .map(|read| {
                     let now = gateway.now();
                     let updates = gateway.view().apply_changes(read.content, now);
-                    (read.position, current.read_at, updates)
+                    (current.advance(read.position), updates)
                 }),
             None => source.read_servers().await.map(|read| {
                 let now = gateway.now();
                 let updates = gateway.view().replace_servers(read.content, now);
-                (read.position, Instant::now(), updates)
+                (Position::of_read(read.position), updates)
             }),
         };
         let now = gateway.now();
         match response {
-            Ok((after, read_at, updates)) => {
+            Ok((reached, updates)) => {
                 backoff.reset(now);
-                position = Some(Position { after, read_at });
+                position = Some(reached);
                 let changed = !updates.is_empty();
                 gateway.fleet().apply(updates, now);
                 if changed {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -260,6 +260,9 @@
     fn finish(&mut self) {
         self.is_finished = true;
         self.attempt.finish(AttemptResult::Ok { first_token: None });
+        self.gateway
+            .crashes
+            .record_answer(&self.call, self.attempt.sent_at);
         if let Some(connection) = self.connection.take() {
             self.gateway
                 .fleet()
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,6 +8,7 @@
 use http::uri::Authority;
 
 use siskinbend_platform::HttpEngine;
+use siskinbend_platform::PlatformCrashLog;
 use siskinbend_platform::PlatformHeaders;
 use siskinbend_platform::PlatformStore;
 use siskinbend_platform::parse_settings;
@@ -61,6 +62,7 @@
 pub fn new_adapter(settings: &NodeSettings) -> PlatformAdapter {
     PlatformAdapter {
         source: new_source(settings),
+        crash_log: Arc::new(PlatformCrashLog::new(settings.store)),
         headers: Arc::new(PlatformHeaders),
     }
 }
--- /dev/null
+++ b/tests/integration/crash_tracker.rs
@@ -0,0 +1,179 @@
+//! Which parts of prompts are blocked after crashes of backend servers.
+
+use std::time::Duration;
+
+use siskinbend_routing::AttemptStage;
+use siskinbend_routing::CrashTracker;
+use siskinbend_routing::crashes::BlockedPart;
+use siskinbend_routing::crashes::CrashReport;
+use siskinbend_routing::crashes::Settings;
+use siskinbend_routing::crashes::Suspect;
+use siskinbend_types::Incarnation;
+use siskinbend_types::PromptPart;
+use siskinbend_types::Time;
+
+/// Time from one crash to the next: a group opens again, and the next request crashes it.
+const CRASH_INTERVAL_MS: u64 = 4_500;
+
+fn parts(prompt: &[&str]) -> Vec<PromptPart> {
+    let part = |text: &&str| text.parse().expect("any text is a part");
+    prompt.iter().map(part).collect()
+}
+
+fn suspect(request: &str, prompt: &[&str], stage: AttemptStage) -> Suspect {
+    Suspect {
+        request: request.into(),
+        parts: parts(prompt),
+        stage,
+    }
+}
+
+fn starting(prompt: &[&str]) -> Suspect {
+    suspect("r", prompt, AttemptStage::Starting)
+}
+
+fn report(server: u64, suspects: Vec<Suspect>) -> CrashReport {
+    CrashReport {
+        server: format!("i-{server}").parse().expect("a name"),
+        incarnation: Incarnation(1),
+        service: "drafts".parse().expect("a name"),
+        suspects,
+    }
+}
+
+/// Time of crash `n`.
+fn crash_time(n: u64) -> Time {
+    Time::from_millis(100_000 + n * CRASH_INTERVAL_MS)
+}
+
+/// Records crash `n`, of a server of its own.
+fn crash(tracker: &mut CrashTracker, n: u64, suspects: Vec<Suspect>) -> Vec<String> {
+    let at = crash_time(n);
+    let blocked = tracker.record_crash(report(n, suspects), at, at);
+    names(&blocked)
+}
+
+fn names(blocked: &[BlockedPart]) -> Vec<String> {
+    blocked.iter().map(|b| b.part.to_string()).collect()
+}
+
+fn is_blocked(tracker: &CrashTracker, part: &str, now: Time) -> bool {
+    tracker.find_blocked(&parts(&[part]), now).is_some()
+}
+
+/// Guards against not finding the part among the requests that crashed with it, and against blocking
+/// parts that sound requests share with it, although no answer is known of any of them.
+#[test]
+fn common_part_is_blocked() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..2 {
+        let other = format!("other{n}");
+        let suspects = vec![
+            starting(&["first", "bad"]),
+            starting(&["first", &other]),
+            suspect("w", &["first"], AttemptStage::Waiting),
+        ];
+        assert!(crash(&mut tracker, n, suspects).is_empty());
+    }
+    let last = crash(&mut tracker, 2, vec![starting(&["first", "bad"])]);
+    assert_eq!(last, ["bad"]);
+    let now = crash_time(2);
+    assert!(is_blocked(&tracker, "bad", now));
+    assert!(!is_blocked(&tracker, "first", now));
+    assert_eq!(tracker.count_blocked(now), 1);
+}
+
+/// Guards against blocking the other parts for crashes that a blocked part accounts for.
+#[test]
+fn explained_crashes_are_no_evidence() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..3 {
+        crash(&mut tracker, n, vec![starting(&["first", "bad"])]);
+    }
+    for n in 3..8 {
+        let blocked = crash(&mut tracker, n, vec![starting(&["first", "bad"])]);
+        assert!(blocked.is_empty(), "{blocked:?}");
+    }
+    let second = (8..11).map(|n| crash(&mut tracker, n, vec![starting(&["worse", "x"])]));
+    assert_eq!(second.last(), Some(vec!["x".to_owned()]));
+}
+
+/// Guards against blocking a popular part because many servers were lost at the same time.
+#[test]
+fn simultaneous_crashes_count_once() {
+    let mut tracker = CrashTracker::default();
+    for server in 0..12 {
+        let at = crash_time(0) + Duration::from_millis(30 * server);
+        let suspects = vec![
+            starting(&["popular"]),
+            suspect("w", &["queued"], AttemptStage::Waiting),
+        ];
+        let blocked = tracker.record_crash(report(server, suspects), at, at);
+        assert!(blocked.is_empty(), "{blocked:?}");
+    }
+}
+
+/// Guards against blocking a part that is answered between crashes, and against never blocking one
+/// that was answered before it began to crash servers.
+#[test]
+fn answers_are_evidence() {
+    let mut tracker = CrashTracker::default();
+    let between = Duration::from_millis(CRASH_INTERVAL_MS / 2);
+    for n in 0..10 {
+        let blocked = crash(&mut tracker, n, vec![starting(&["sound"])]);
+        assert!(blocked.is_empty(), "{blocked:?}");
+        tracker.record_answer(&parts(&["sound"]), crash_time(n) + between);
+    }
+    let later: Vec<_> = (11..15)
+        .map(|n| crash(&mut tracker, n, vec![starting(&["sound"])]))
+        .collect();
+    assert!(later[..3].iter().all(Vec::is_empty), "{later:?}");
+    assert_eq!(later[3], ["sound"]);
+}
+
+/// Guards against missing a part whose answers break before the gateway sees their beginning, and
+/// against blaming answers that were well under way.
+#[test]
+fn stages_weigh_differently() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..4 {
+        let suspects = vec![
+            suspect("w", &["waiting"], AttemptStage::Waiting),
+            suspect("s", &["streaming"], AttemptStage::Streaming),
+        ];
+        let blocked = crash(&mut tracker, n, suspects);
+        let expected: &[&str] = if n == 3 { &["waiting"] } else { &[] };
+        assert_eq!(blocked, expected, "crash {n}");
+    }
+}
+
+/// Guards against counting a crash for each gateway that reports it.
+#[test]
+fn reports_of_one_crash_are_merged() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..2 {
+        for gateway in 0..5 {
+            let at = crash_time(n) + Duration::from_secs(gateway);
+            let blocked = tracker.record_crash(report(n, vec![starting(&["part"])]), at, at);
+            assert!(blocked.is_empty(), "{blocked:?}");
+        }
+    }
+    assert_eq!(crash(&mut tracker, 3, vec![starting(&["part"])]), ["part"]);
+}
+
+/// Guards against a block that never ends, and against old crashes that count for ever.
+#[test]
+fn blocks_end() {
+    let mut tracker = CrashTracker::default();
+    for n in 0..3 {
+        crash(&mut tracker, n, vec![starting(&["bad"])]);
+    }
+    let retention = Settings::default().retention;
+    let end = crash_time(2) + retention;
+    let just_before = end.before(Duration::from_millis(1));
+    let left = tracker.find_blocked(&parts(&["bad"]), just_before);
+    assert_eq!(left.map(|(_, left)| left), Some(Duration::from_millis(1)));
+    assert!(!is_blocked(&tracker, "bad", end));
+    let blocked = tracker.record_crash(report(9, vec![starting(&["bad"])]), end, end);
+    assert!(blocked.is_empty(), "{blocked:?}");
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod claims;
 mod closed_output;
+mod crash_tracker;
 mod crashing_prompts;
 mod deployment;
 mod direct_attempts;
