Block an unknown prompt part after two crashes

Each further crash stops a whole group for four seconds, so two crashes of different requests at which the answer had just begun now block a part of which no answer is known. A part that was answered before still needs four.

To keep a sound part from being blocked sooner, each request counts once: a retry that meets with another crash is no second piece of evidence. Parts of the same weight are still told apart by answers and position.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A backend server that crashes takes all of its requests with it, and one gateway sees only those
 //! that it sent. The tracker compares the requests of several crashes, also of those that other
-//! gateways reported: a part that was at every crash and in no request that was answered is blocked.
+//! gateways reported: a part that was at several crashes and in no request that was answered is blocked.
 //! The last part of a prompt belongs to one request and is not compared.
 
 use std::collections::BTreeMap;
@@ -119,7 +119,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            unknown_threshold: 3 * STARTING_WEIGHT,
+            unknown_threshold: 2 * STARTING_WEIGHT,
             answered_threshold: 4 * STARTING_WEIGHT,
             episode: Duration::from_millis(500),
             retention: Duration::from_secs(600),
@@ -323,25 +323,35 @@
             .filter(|c| c.weigh(part) > 0 && answered.is_none_or(|sent_at| c.at > sent_at))
             .collect();
         crashes.sort_by_key(|c| c.at);
-        let mut episodes: Vec<(Time, u32)> = Vec::new();
-        for crash in &crashes {
-            let weight = crash.weigh(part);
-            match episodes.last_mut() {
-                Some((start, most)) if crash.at.since(*start) < self.settings.episode => {
-                    *most = weight.max(*most);
-                }
-                _ => episodes.push((crash.at, weight)),
-            }
-        }
         let position = |s: &Suspect| s.parts.iter().position(|p| p == part);
         let depths = crashes
             .iter()
             .flat_map(|c| &c.suspects)
             .filter_map(position);
         Evidence {
-            weight: episodes.iter().map(|(_, weight)| weight).sum(),
+            weight: self.sum_episodes(part, &crashes),
             is_unknown: answered.is_none(),
             depth: depths.max().unwrap_or(0),
         }
     }
+
+    /// Adds up the weights of crashes, in the order of time, against a part. Crashes of one episode
+    /// count once, and so does each request: a retry may only have met with another crash.
+    fn sum_episodes(&self, part: &PromptPart, crashes: &[&Crash]) -> u32 {
+        let mut counted: BTreeSet<&SmolStr> = BTreeSet::new();
+        let mut sum = 0;
+        let mut rest = crashes;
+        while let Some(first) = rest.first() {
+            let is_together = |c: &&&Crash| c.at.since(first.at) < self.settings.episode;
+            let (episode, later) = rest.split_at(rest.iter().take_while(is_together).count());
+            let suspects = episode.iter().flat_map(|c| &c.suspects);
+            let new: Vec<&Suspect> = suspects
+                .filter(|s| s.parts.contains(part) && !counted.contains(&s.request))
+                .collect();
+            sum += new.iter().map(|s| s.stage.weight()).max().unwrap_or(0);
+            counted.extend(new.iter().map(|s| &s.request));
+            rest = later;
+        }
+        sum
+    }
 }
