Take an unframed stream without events as broken off

A stream may come with neither a length nor chunks and end with its connection. A server that crashed before the first event then looked like one whose answer is finished: the caller got an empty stream with the server's seal, and the crash was no evidence against the prompt.

A stream whose end is not marked and that brought nothing is now a lost connection: it goes on at another server, or is cut. The answers that end inside an event or with a reset were already taken as broken.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,7 +5,10 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
+use http::HeaderMap;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -48,6 +51,8 @@
     attempt: AttemptGuard,
     connection: Option<Connection>,
     body: Incoming,
+    /// Whether the end of the body is marked, so that it differs from a lost connection.
+    is_framed: bool,
     /// Number of parts of the body that arrived from the current backend server.
     parts_read: u32,
     /// Whether the time to the first event was recorded, or cannot be because the stream was
@@ -98,6 +103,11 @@
     relay(gateway, call, attempts, pending, permit)
 }
 
+/// Whether the headers of a response mark the end of its body.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn relay(
     gateway: &Arc<Gateway>,
     call: Call,
@@ -106,6 +116,7 @@
     permit: AdmissionPermit,
 ) -> Response<Body> {
     let (mut parts, body) = pending.response.into_parts();
+    let is_framed = is_framed(&parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     let relay = StreamRelay {
         gateway: Arc::clone(gateway),
@@ -115,6 +126,7 @@
         attempt: pending.attempt,
         connection: Some(pending.connection),
         body,
+        is_framed,
         parts_read: 0,
         has_first_event: false,
         last_data_at: None,
@@ -204,6 +216,10 @@
             None if self.events.has_partial() => {
                 return StreamPart::Failed(AttemptFailure::ConnectionLost);
             }
+            // Without framing, a server that broke off before the first event looks finished.
+            None if !self.is_framed && self.parts_read == 0 => {
+                return StreamPart::Failed(AttemptFailure::ConnectionLost);
+            }
             None => return StreamPart::End,
             Some(Err(_)) => return StreamPart::Failed(AttemptFailure::ConnectionLost),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -306,6 +322,7 @@
                 Ok(pending) if pending.response.status().is_success() => {
                     self.attempt = pending.attempt;
                     self.connection = Some(pending.connection);
+                    self.is_framed = is_framed(pending.response.headers());
                     self.body = pending.response.into_body();
                     self.parts_read = 0;
                     // The first event after a resume is no measure of latency for new requests.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -60,5 +60,6 @@
 mod subset_choice;
 mod switch;
 mod type_parsing;
+mod unframed_answers;
 mod util;
 mod versions;
