Log the request limits that servers name

The logs could not show what a gateway knew of a server's limit when it chose the server. server_limit_changed states each change, and siskinbend_limited_servers counts the servers with a limit. An answer without a limit ends it only if it was asked for after the limit was named. No decision uses the limits yet.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rate_limit;
 pub mod replica;
 pub mod report;
+pub mod server_limits;
 pub mod slowdown;
 pub mod subset;
 
@@ -39,3 +40,4 @@
 pub use replica::Replica;
 pub use replica::Verdict;
 pub use report::LoadReport;
+pub use server_limits::ServerLimits;
--- a/crates/site/src/headers.rs
+++ b/crates/site/src/headers.rs
@@ -7,6 +7,7 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::Organisation;
 use siskinbend_types::PromptPart;
+use siskinbend_types::Rate;
 use smol_str::SmolStr;
 
 /// Decoded headers of a caller's request.
@@ -47,7 +48,7 @@
 }
 
 /// Decoded headers of a backend server's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to.
     pub id: Option<SmolStr>,
@@ -57,6 +58,8 @@
     pub not_run: bool,
     /// Load of the backend server.
     pub load: Option<LoadReport>,
+    /// Requests a second that the backend server takes from all gateways together.
+    pub limit: Option<Rate>,
 }
 
 /// Translates the headers of one platform.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::header;
 use http_body_util::Full;
@@ -262,6 +263,10 @@
     {
         let mut fleet = gateway.fleet();
         fleet.record_activity(&attempt.target, now);
+        // Another server may hold the address now; its answer says nothing about the target.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            fleet.record_server_limit(&attempt.target, head.limit, attempt.sent_at, now);
+        }
         if let Some(load) = head.load {
             fleet.record_load(&attempt.target.id, Some(load), now);
         }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -24,6 +24,7 @@
 use siskinbend_routing::Observation;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
+use siskinbend_routing::ServerLimits;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_site::BackendServer;
@@ -33,6 +34,7 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
+use siskinbend_types::Rate;
 use siskinbend_types::Reason;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
@@ -120,6 +122,7 @@
     bounds: Bounds,
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
+    server_limits: ServerLimits,
 }
 
 impl Fleet {
@@ -129,6 +132,7 @@
             bounds,
             services: HashMap::new(),
             replicas: BTreeMap::new(),
+            server_limits: ServerLimits::default(),
         }
     }
 
@@ -207,6 +211,7 @@
     fn remove(&mut self, id: &AgentId) {
         if let Some(replica) = self.replicas.remove(id) {
             log::info!(server:% = id, service:% = replica.server.service; "server_removed");
+            self.server_limits.remove(id);
             if let Some(routing) = self.services.get_mut(&replica.server.service) {
                 routing.picker.remove(id);
                 routing.liveness.remove(id);
@@ -248,6 +253,34 @@
         self.service(&service).picker.observe(id, observation, now);
     }
 
+    /// Records the limit that an answer to an attempt names, or that it names none.
+    pub fn record_server_limit(
+        &mut self,
+        target: &Target,
+        limit: Option<Rate>,
+        sent_at: Time,
+        now: Time,
+    ) {
+        let change = self
+            .server_limits
+            .record_answer(&target.id, limit, sent_at, now);
+        if let Some(change) = change {
+            let text = |rate: Option<Rate>| rate.map_or("none".to_owned(), |r| r.to_string());
+            log::info!(
+                server:% = target.id,
+                service:% = target.service,
+                limit = text(change.limit),
+                previous = text(change.previous);
+                "server_limit_changed"
+            );
+        }
+    }
+
+    /// Returns the number of backend servers that name a limit.
+    pub fn count_server_limits(&self) -> usize {
+        self.server_limits.count()
+    }
+
     /// Repeats the latest load report of every backend server and closes expired idle connections.
     pub fn refresh(&mut self, now: Time) {
         let ids: Vec<AgentId> = self.replicas.keys().cloned().collect();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,6 +53,8 @@
     pub total: Histogram,
     /// Crashes of backend servers.
     pub crashes: Counter,
+    /// Backend servers that name a request limit.
+    pub limited_servers: Gauge,
     /// Blocked parts of prompts.
     pub blocked_parts: Gauge,
     config_version: Gauge,
@@ -74,6 +76,7 @@
             event_gap: register_latency(all, "pause_seconds", "Time between two events"),
             total: register_latency(all, "answer_seconds", "Time to the end of the answer"),
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
+            limited_servers: register(all, "limited_servers", "Servers with a request limit"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -113,7 +113,11 @@
                 .map_or(f64::INFINITY, |a| a.as_secs_f64());
             (version, age)
         };
-        let states = self.fleet().list_states(now);
+        let (states, limited) = {
+            let fleet = self.fleet();
+            (fleet.list_states(now), fleet.count_server_limits())
+        };
+        self.metrics.limited_servers.set(limited as i64);
         self.metrics.update_gauges(version, age, &states);
         let blocked = self.crashes.count_blocked(now);
         self.metrics.blocked_parts.set(blocked as i64);
--- a/tests/integration/platform_formats.rs
+++ b/tests/integration/platform_formats.rs
@@ -160,6 +160,23 @@
     }
 }
 
+/// Guards against missing the request limit of a server, and against taking text that is no rate for
+/// one.
+#[test]
+fn server_limits_are_read() {
+    let limit = |value: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("server-limit", HeaderValue::from_static(value));
+        let response = PlatformHeaders.decode_response(200, &headers);
+        response.limit.map(|rate| rate.per_second())
+    };
+    assert_eq!(limit("2.5"), Some(2.5));
+    assert_eq!(limit(" 40 "), Some(40.0));
+    for malformed in ["", "many", "-1", "inf", "NaN", "2,5"] {
+        assert_eq!(limit(malformed), None, "{malformed}");
+    }
+}
+
 /// Guards against treating a response as "not run" without the header or status that proves it.
 #[test]
 fn not_run_needs_proof() {
