Show that servers get more requests than the limit that they name

Two gateways and two servers of a plain service, one of which names a limit of 2 requests a second: it gets 77 requests in 4 s, where 17 may arrive.

--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use axum::Json;
 use axum::Router;
@@ -55,6 +56,10 @@
     pub overloaded: AtomicBool,
     /// Closes the connection instead of answering, after the request was executed.
     pub lose_answers: AtomicBool,
+    /// Requests a second that the answers name as the limit.
+    pub limit: Mutex<Option<f64>>,
+    /// When each request arrived while there was a limit.
+    limited_arrivals: Mutex<Vec<Instant>>,
     /// Part of a prompt on which the replica crashes as soon as it begins to answer.
     pub crash_part: Mutex<Option<String>>,
     /// Number of crashes.
@@ -92,6 +97,8 @@
             cut_after: AtomicU32::new(0),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
+            limit: Mutex::default(),
+            limited_arrivals: Mutex::default(),
             crash_part: Mutex::default(),
             crashes: AtomicU32::new(0),
             crashed: Notify::new(),
@@ -140,6 +147,11 @@
         }
     }
 
+    /// Returns when requests arrived while there was a limit.
+    pub fn limited_arrivals(&self) -> Vec<Instant> {
+        lock(&self.limited_arrivals).clone()
+    }
+
     /// Returns the ids of the requests that arrived with the part on which the replica crashes.
     pub fn crash_requests(&self) -> Vec<String> {
         lock(&self.crash_requests).clone()
@@ -188,7 +200,18 @@
     }
 }
 
+/// Answers a request, and names the limit if there is one.
 async fn run(State(replica): State<Arc<Replica>>, request: Request<Body>) -> Response {
+    let limit = *lock(&replica.limit);
+    let Some(limit) = limit else {
+        return answer(&replica, &request);
+    };
+    lock(&replica.limited_arrivals).push(Instant::now());
+    let head = [("server-limit", limit.to_string())];
+    (head, answer(&replica, &request)).into_response()
+}
+
+fn answer(replica: &Arc<Replica>, request: &Request<Body>) -> Response {
     let headers = request.headers().clone();
     if let Some(rejection) = replica.reject(&headers) {
         return rejection;
@@ -205,9 +228,9 @@
     let stream = request.uri().path().starts_with("/draft/");
     let body = if replica.crashes_on(&headers) {
         lock(&replica.crash_requests).push(id.clone());
-        crash_in_stream(&replica)
+        crash_in_stream(replica)
     } else if stream {
-        stream_events(&replica, after)
+        stream_events(replica, after)
     } else {
         Body::from(format!("{{\"done\":\"{id}\"}}"))
     };
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -31,6 +31,7 @@
 mod late_copies;
 mod lease;
 mod ledger;
+mod limited_servers;
 mod map_orders;
 mod membership;
 mod operators;
