Share the request limits of servers between gateways

Cause: gateways did not read the limit. The class of fault is a limit that holds for all senders together while each knows only its own requests.

Change: gateways state in a table of the store that they run, and divide each server's limit equally. A server whose share is used up at a gateway is left out of the choice; if that leaves none, the request is refused as server_limit. A low limit is divided between a few gateways only, the same ones everywhere, since many that have saved up one request each could send them at the same moment; the others take turns to find out whether the limit still holds.

--- a/crates/routing/src/server_limits.rs
+++ b/crates/routing/src/server_limits.rs
@@ -1,10 +1,28 @@
-//! Request limits that backend servers name in their answers.
+//! Request limits that backend servers name in their answers, shared between gateways.
+//!
+//! A limit holds for all gateways together, and a gateway sees only its own requests. Each server's
+//! limit is therefore divided equally between some of the gateways. How many share it depends on the
+//! limit: a few requests a second divided between many gateways would let all of them send one at
+//! the same moment. All gateways know each other's names and choose the same ones.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use siskinbend_types::AgentId;
 use siskinbend_types::Rate;
 use siskinbend_types::Time;
+use smol_str::SmolStr;
+
+use crate::subset::stable_hash;
+
+/// Number of gateways that share even the lowest limit.
+const MIN_SHARING: usize = 2;
+/// Time of a gateway's rate that it can save up, beyond a single request.
+const BURST: Duration = Duration::from_millis(250);
+/// Time in which one of the gateways without a share may send a request, to find out whether the
+/// limit still holds. They take turns.
+const PROBE_SLOT: Duration = Duration::from_secs(3);
 
 /// Change of a backend server's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -15,20 +33,161 @@
     pub limit: Option<Rate>,
 }
 
+/// How a gateway may use a server with a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Allowance {
+    /// Requests a second.
+    Share(f64),
+    /// A request in the slot with this number.
+    Probe(u64),
+    /// None at present.
+    Nothing,
+}
+
+/// Limit of one backend server, with the requests that this gateway may send.
 #[derive(Debug)]
 struct Limit {
     rate: Rate,
+    /// Position of this gateway in the order of those that get a share.
+    rank: usize,
     /// When the server named it last.
     named_at: Time,
+    tokens: f64,
+    refilled_at: Time,
+    /// Number of the slot of the latest request.
+    used_slot: u64,
+}
+
+impl Limit {
+    fn new(rate: Rate, rank: usize, now: Time) -> Limit {
+        Limit {
+            rate,
+            rank,
+            named_at: now,
+            // This gateway has just sent the request whose answer named the limit.
+            tokens: 0.0,
+            refilled_at: now,
+            used_slot: slot_number(now),
+        }
+    }
+
+    /// Whether a request may be sent now.
+    fn allows(&self, gateways: &Gateways, now: Time) -> bool {
+        match gateways.find_allowance(self.rate, self.rank, now) {
+            Allowance::Share(share) => self.count_tokens(share, now) >= 1.0,
+            Allowance::Probe(slot) => slot != self.used_slot,
+            Allowance::Nothing => false,
+        }
+    }
+
+    /// Returns the requests that may be sent now, if this gateway may send `share` a second.
+    fn count_tokens(&self, share: f64, now: Time) -> f64 {
+        let added = share * now.since(self.refilled_at).as_secs_f64();
+        (self.tokens + added).min(1.0 + share * BURST.as_secs_f64())
+    }
+
+    /// Adds what has been saved up until now, before the share changes.
+    fn refill(&mut self, gateways: &Gateways, now: Time) {
+        if let Allowance::Share(share) = gateways.find_allowance(self.rate, self.rank, now) {
+            self.tokens = self.count_tokens(share, now);
+        }
+        self.refilled_at = now;
+    }
+
+    fn record_dispatch(&mut self, gateways: &Gateways, now: Time) {
+        self.refill(gateways, now);
+        self.tokens = (self.tokens - 1.0).max(0.0);
+        self.used_slot = slot_number(now);
+    }
+}
+
+fn slot_number(now: Time) -> u64 {
+    now.since(Time::default()).as_secs() / PROBE_SLOT.as_secs()
+}
+
+/// Gateways of the deployment, including this one.
+#[derive(Debug)]
+struct Gateways {
+    own: SmolStr,
+    names: BTreeSet<SmolStr>,
+    /// Position of this gateway's name.
+    turn: usize,
+}
+
+impl Gateways {
+    fn new(own: SmolStr) -> Gateways {
+        Gateways {
+            names: BTreeSet::from([own.clone()]),
+            own,
+            turn: 0,
+        }
+    }
+
+    fn replace(&mut self, names: BTreeSet<SmolStr>) {
+        self.names = names;
+        self.names.insert(self.own.clone());
+        let earlier = self.names.iter().take_while(|name| **name < self.own);
+        self.turn = earlier.count();
+    }
+
+    /// Returns the position of this gateway in the order in which gateways get a share of a server's
+    /// limit. The order differs from server to server.
+    fn find_rank(&self, server: &AgentId) -> usize {
+        let order = |name: &SmolStr| (stable_hash((server, name)), name.clone());
+        let own = order(&self.own);
+        let earlier = self.names.iter().filter(|name| order(name) < own);
+        earlier.count()
+    }
+
+    /// Returns how this gateway may use a server, of whose limit it gets a share at position `rank`.
+    fn find_allowance(&self, limit: Rate, rank: usize, now: Time) -> Allowance {
+        let rate = limit.per_second();
+        // Saturates for limits beyond any number of gateways.
+        let sharing = MIN_SHARING.saturating_add(rate as usize);
+        let count = self.names.len();
+        if rate > 0.0 && rank < sharing {
+            return Allowance::Share(rate / sharing.min(count) as f64);
+        }
+        let slot = slot_number(now);
+        match slot % count as u64 == self.turn as u64 {
+            true => Allowance::Probe(slot),
+            false => Allowance::Nothing,
+        }
+    }
 }
 
 /// Limits of the backend servers, as their answers named them last.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServerLimits {
+    gateways: Gateways,
     limits: HashMap<AgentId, Limit>,
 }
 
 impl ServerLimits {
+    /// Creates the limits of the gateway named `own`, which knows of no other gateway.
+    pub fn new(own: SmolStr) -> ServerLimits {
+        ServerLimits {
+            gateways: Gateways::new(own),
+            limits: HashMap::new(),
+        }
+    }
+
+    /// Sets the names of the gateways that share the limits; this one is always among them.
+    pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, now: Time) {
+        for limit in self.limits.values_mut() {
+            limit.refill(&self.gateways, now);
+        }
+        self.gateways.replace(names);
+        for (server, limit) in &mut self.limits {
+            limit.rank = self.gateways.find_rank(server);
+        }
+    }
+
+    /// Returns the number of gateways that share the limits.
+    pub fn count_gateways(&self) -> usize {
+        self.gateways.names.len()
+    }
+
     /// Records an answer to an attempt that was sent at `sent_at`; it names a limit or none. Returns
     /// the change, if there is one.
     ///
@@ -45,12 +204,14 @@
         let previous = known.as_ref().map(|known| known.rate);
         match (known, limit) {
             (Some(known), Some(rate)) => {
+                known.refill(&self.gateways, now);
                 known.rate = rate;
                 known.named_at = now;
             }
             (None, Some(rate)) => {
-                let named_at = now;
-                self.limits.insert(server.clone(), Limit { rate, named_at });
+                let rank = self.gateways.find_rank(server);
+                self.limits
+                    .insert(server.clone(), Limit::new(rate, rank, now));
             }
             (Some(known), None) if sent_at > known.named_at => {
                 self.limits.remove(server);
@@ -60,6 +221,22 @@
         (previous != limit).then_some(LimitChange { previous, limit })
     }
 
+    /// Lists the backend servers that may get no request of this gateway now.
+    pub fn list_exhausted(&self, now: Time) -> Vec<AgentId> {
+        let exhausted = self
+            .limits
+            .iter()
+            .filter(|(_, l)| !l.allows(&self.gateways, now));
+        exhausted.map(|(server, _)| server.clone()).collect()
+    }
+
+    /// Records that a request was sent to a backend server.
+    pub fn record_dispatch(&mut self, server: &AgentId, now: Time) {
+        if let Some(limit) = self.limits.get_mut(server) {
+            limit.record_dispatch(&self.gateways, now);
+        }
+    }
+
     /// Forgets a backend server.
     pub fn remove(&mut self, server: &AgentId) {
         self.limits.remove(server);
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -101,6 +101,8 @@
     QueueFull => "queue_full", 429, "The queue of the replica is full.";
     /// The organisation exceeds its rate limit.
     RateLimited => "rate_limited", 429, "The organisation sends more requests a second than it may.";
+    /// All replicas have reached the request rate that they accept.
+    ServerLimit => "server_limit", 429, "All replicas have reached the request rate that they accept.";
     /// The organisation's share of the queue is used up.
     ShareExceeded => "share_exceeded", 429, "The organisation's share of the queue is used up.";
     /// The deadline passed, or can't be met.
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,8 @@
-//! Monotonic clocks of the process.
+//! Clocks of the process.
 
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
@@ -49,3 +50,10 @@
         Time(seconds * 1_000_000 + nanos / 1_000)
     }
 }
+
+/// The time of day in milliseconds since 1970. The clocks of VMs may differ.
+pub fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 only makes what others stated look old.
+    since_epoch.unwrap_or_default().as_millis() as u64
+}
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use siskinbend_link::Reachability;
 use siskinbend_link::probe;
@@ -29,6 +28,7 @@
 use super::fleet::Target;
 use super::store_watch::Backoff;
 use super::store_watch::Position;
+use crate::clock::unix_millis;
 use crate::sync::lock;
 
 /// Delay of the check after the first broken connection. The other connections to a server that
@@ -241,12 +241,6 @@
     }
 }
 
-fn unix_millis() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    // A clock before 1970 only makes entries look old.
-    since_epoch.unwrap_or_default().as_millis() as u64
-}
-
 /// Writes the parts of a prompt for the log, separated by commas.
 fn join_parts(parts: &[PromptPart]) -> String {
     let mut text = String::new();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -28,6 +28,7 @@
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_site::BackendServer;
+use siskinbend_site::NodeSettings;
 use siskinbend_site::ServerState;
 use siskinbend_site::settings::Bounds;
 use siskinbend_site::view::ServerUpdate;
@@ -40,6 +41,7 @@
 use siskinbend_types::Time;
 use siskinbend_types::Window;
 use siskinbend_types::Zone;
+use smol_str::SmolStr;
 
 use super::Gateway;
 use super::metrics::ServiceState;
@@ -126,13 +128,13 @@
 }
 
 impl Fleet {
-    pub fn new(zone: Zone, bounds: Bounds) -> Fleet {
+    pub fn new(settings: &NodeSettings) -> Fleet {
         Fleet {
-            zone,
-            bounds,
+            zone: settings.zone.clone(),
+            bounds: settings.bounds,
             services: HashMap::new(),
             replicas: BTreeMap::new(),
-            server_limits: ServerLimits::default(),
+            server_limits: ServerLimits::new(settings.node.clone()),
         }
     }
 
@@ -276,6 +278,14 @@
         }
     }
 
+    /// Sets the gateways that share the limits of backend servers. Returns their number before and
+    /// now.
+    pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, now: Time) -> (usize, usize) {
+        let before = self.server_limits.count_gateways();
+        self.server_limits.set_gateways(names, now);
+        (before, self.server_limits.count_gateways())
+    }
+
     /// Returns the number of backend servers that name a limit.
     pub fn count_server_limits(&self) -> usize {
         self.server_limits.count()
@@ -330,6 +340,7 @@
         permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
+        let exhausted = self.server_limits.list_exhausted(now);
         let routing = self.service(service);
         let mut closed_groups = routing.list_closed(now);
         let is_new = permit
@@ -343,17 +354,28 @@
         };
         let is_limited = !full.is_empty();
         closed_groups.extend(full);
-        let requirements = Requirements {
-            avoid: avoid.to_vec(),
+        let mut requirements = Requirements {
+            avoid: [avoid, &exhausted].concat(),
             closed_groups,
             ..Requirements::default()
         };
-        let choice = routing.picker.choose(&requirements, now, &mut rand::rng());
-        let choice = choice.map_err(|reason| match is_limited {
-            true => Reason::ShareExceeded,
-            false => reason,
+        let picker = &mut routing.picker;
+        let choice = picker.choose(&requirements, now, &mut rand::rng());
+        let choice = choice.map_err(|reason| {
+            requirements.avoid.truncate(avoid.len());
+            let can_choose = |picker: &mut Picker| {
+                let choice = picker.choose(&requirements, now, &mut rand::rng());
+                choice.is_ok()
+            };
+            match reason {
+                _ if !exhausted.is_empty() && can_choose(picker) => Reason::ServerLimit,
+                _ if is_limited => Reason::ShareExceeded,
+                _ => reason,
+            }
         })?;
-        routing.picker.record_dispatch(&choice.agent, now);
+        picker.record_dispatch(&choice.agent, now);
+        self.server_limits.record_dispatch(&choice.agent, now);
+        let routing = self.service(service);
         let group = routing.picker.find_group(&choice.agent).cloned();
         if let Some(permit) = permit {
             routing.move_permit(permit, &group);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -99,7 +99,9 @@
         return blocked_for;
     }
     let cause = match reason {
-        Reason::QueueFull | Reason::ShareExceeded => retry_after::RefusalCause::Overloaded,
+        Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit => {
+            retry_after::RefusalCause::Overloaded
+        }
         Reason::NoReplica | Reason::Draining => retry_after::RefusalCause::Closed,
         _ => retry_after::RefusalCause::Failure,
     };
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,66 @@
+//! Keeps the list of the gateways that run, which share the request limits of backend servers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use siskinbend_site::Member;
+use siskinbend_site::SourceError;
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use super::Gateway;
+use super::store_watch::Backoff;
+use crate::clock::unix_millis;
+
+/// Interval at which a gateway states that it runs and reads which others do.
+const INTERVAL: Duration = Duration::from_secs(15);
+/// Age of a statement from which its gateway no longer shares limits. It spans several statements, so
+/// that one that was missed or is read late does not change the shares.
+const MAX_AGE: Duration = Duration::from_secs(50);
+/// Age of a statement from which it is removed.
+const REMOVAL_AGE: Duration = Duration::from_secs(600);
+
+/// Announces this gateway and reads which others run.
+pub(super) async fn run(gateway: Arc<Gateway>) {
+    let mut backoff = Backoff::new("gateways");
+    loop {
+        match update(&gateway).await {
+            Ok(()) => {
+                backoff.reset(gateway.now());
+                sleep(INTERVAL).await;
+            }
+            Err(error) => backoff.wait(error, gateway.now()).await,
+        }
+    }
+}
+
+async fn update(gateway: &Arc<Gateway>) -> Result<(), SourceError> {
+    let membership = &gateway.adapter.membership;
+    let own = Member {
+        node: gateway.settings.node.clone(),
+        stated_ms: unix_millis(),
+    };
+    membership.announce(&own).await?;
+    let members = membership.read().await?;
+    let unix_now = unix_millis();
+    let age = |m: &Member| Duration::from_millis(unix_now.saturating_sub(m.stated_ms));
+    let running = members.iter().filter(|m| age(m) < MAX_AGE);
+    apply(gateway, running.map(|m| m.node.clone()).collect());
+    let gone: Vec<Member> = members
+        .into_iter()
+        .filter(|m| age(m) >= REMOVAL_AGE)
+        .collect();
+    if !gone.is_empty() {
+        membership.remove(&gone).await?;
+    }
+    Ok(())
+}
+
+fn apply(gateway: &Arc<Gateway>, names: BTreeSet<SmolStr>) {
+    let now = gateway.now();
+    let (before, after) = gateway.fleet().set_gateways(names, now);
+    if before != after {
+        log::info!(before, after; "gateways_changed");
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod handler;
 mod loads;
+mod members;
 mod metrics;
 mod response;
 mod server;
@@ -26,6 +27,7 @@
 use siskinbend_site::CrashLog;
 use siskinbend_site::DeploymentView;
 use siskinbend_site::HeaderCodec;
+use siskinbend_site::Membership;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::Source;
 use siskinbend_site::view;
@@ -53,6 +55,8 @@
     pub source: Arc<dyn Source>,
     /// Log of crashes that the gateways share.
     pub crash_log: Arc<dyn CrashLog>,
+    /// List of the gateways that run.
+    pub membership: Arc<dyn Membership>,
     /// Codec of the platform's HTTP headers.
     pub headers: Arc<dyn HeaderCodec>,
 }
@@ -147,7 +151,7 @@
         revocation_delay: settings.bounds.revoke,
     };
     let gateway = Arc::new(Gateway {
-        fleet: Mutex::new(Fleet::new(settings.zone.clone(), settings.bounds)),
+        fleet: Mutex::new(Fleet::new(&settings)),
         view: Mutex::new(DeploymentView::new(view_settings)),
         peers: PeerClient::new(settings.peers.port()),
         bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -12,6 +12,7 @@
 use super::Gateway;
 use super::REFRESH_INTERVAL;
 use super::crashes;
+use super::members;
 
 /// Long-poll duration of a configuration watch. It must be shorter than the maximum age at which
 /// the configuration counts as fresh.
@@ -33,6 +34,7 @@
     tokio::spawn(watch_config(Arc::clone(gateway)));
     tokio::spawn(watch_servers(Arc::clone(gateway)));
     tokio::spawn(crashes::watch(Arc::clone(gateway)));
+    tokio::spawn(members::run(Arc::clone(gateway)));
     tokio::spawn(refresh_periodically(Arc::clone(gateway)));
 }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,6 +10,7 @@
 use siskinbend_platform::HttpEngine;
 use siskinbend_platform::PlatformCrashLog;
 use siskinbend_platform::PlatformHeaders;
+use siskinbend_platform::PlatformMembership;
 use siskinbend_platform::PlatformStore;
 use siskinbend_platform::parse_settings;
 use siskinbend_site::Engine;
@@ -63,6 +64,7 @@
     PlatformAdapter {
         source: new_source(settings),
         crash_log: Arc::new(PlatformCrashLog::new(settings.store)),
+        membership: Arc::new(PlatformMembership::new(settings.store)),
         headers: Arc::new(PlatformHeaders),
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -54,6 +54,7 @@
 mod resumption;
 mod rollout;
 mod sample;
+mod server_limits;
 mod site_view;
 mod slow_ranks;
 mod standins;
