Split the guards of requests and attempts from the fleet

The gateways' list is now read also if the statement of the own gateway got no answer, which may have taken effect.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -36,9 +36,9 @@
 
 use super::Gateway;
 use super::crashes;
-use super::fleet::AdmissionPermit;
-use super::fleet::AttemptGuard;
 use super::fleet::Target;
+use super::guards::AdmissionPermit;
+use super::guards::AttemptGuard;
 
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,8 +4,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::Weak;
 use std::time::Duration;
 
 use siskinbend_groups::directory::Directory;
@@ -43,7 +41,7 @@
 use siskinbend_types::Zone;
 use smol_str::SmolStr;
 
-use super::Gateway;
+use super::guards::AdmissionPermit;
 use super::metrics::ServiceState;
 
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
@@ -86,6 +84,7 @@
         permit.counted = Some(group.clone());
     }
 
+    /// Ends the permit of a request.
     fn release(&mut self, permit: &mut AdmissionPermit) {
         if let Some(group) = permit.counted.take() {
             self.limits.of_group(&group).release();
@@ -550,6 +549,11 @@
         self.services.iter().map(describe).collect()
     }
 
+    /// Ends the permit of a request for a service.
+    pub fn release(&mut self, service: &ServiceName, permit: &mut AdmissionPermit) {
+        self.service(service).release(permit);
+    }
+
     /// Returns the retry budget of a service.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         &mut self.service(service).budget
@@ -567,67 +571,3 @@
         }
     }
 }
-
-/// Permit of a request, which counts against the concurrency limit of the group that runs it until
-/// dropped. It counts against none before the first attempt.
-pub(super) struct AdmissionPermit {
-    gateway: Weak<Gateway>,
-    service: ServiceName,
-    counted: Option<Option<EngineGroup>>,
-}
-
-impl AdmissionPermit {
-    /// Creates a permit of a request for which no backend server has been chosen.
-    pub fn new(gateway: &Arc<Gateway>, service: &ServiceName) -> AdmissionPermit {
-        AdmissionPermit {
-            gateway: Arc::downgrade(gateway),
-            service: service.clone(),
-            counted: None,
-        }
-    }
-}
-
-impl Drop for AdmissionPermit {
-    fn drop(&mut self) {
-        if let Some(gateway) = self.gateway.upgrade() {
-            let service = self.service.clone();
-            gateway.fleet().service(&service).release(self);
-        }
-    }
-}
-
-/// Attempt in flight; dropping it before [`finish`](AttemptGuard::finish) records a cancellation.
-pub(super) struct AttemptGuard {
-    gateway: Weak<Gateway>,
-    pub target: Target,
-    pub sent_at: Time,
-    is_finished: bool,
-}
-
-impl AttemptGuard {
-    pub fn new(gateway: &Arc<Gateway>, target: Target) -> AttemptGuard {
-        AttemptGuard {
-            gateway: Arc::downgrade(gateway),
-            target,
-            sent_at: gateway.now(),
-            is_finished: false,
-        }
-    }
-
-    /// Records the result of the attempt; later calls have no effect.
-    pub fn finish(&mut self, result: AttemptResult) {
-        if std::mem::replace(&mut self.is_finished, true) {
-            return;
-        }
-        if let Some(gateway) = self.gateway.upgrade() {
-            let now = gateway.now();
-            gateway.fleet().record_result(&self.target, result, now);
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.finish(AttemptResult::Cancelled);
-    }
-}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -41,7 +41,8 @@
         node: gateway.settings.node.clone(),
         stated_ms: unix_millis(),
     };
-    membership.announce(&own).await?;
+    // The others are read in any case: the statement may have taken effect without an answer.
+    let announced = membership.announce(&own).await;
     let members = membership.read().await?;
     let unix_now = unix_millis();
     let age = |m: &Member| Duration::from_millis(unix_now.saturating_sub(m.stated_ms));
@@ -54,7 +55,7 @@
     if !gone.is_empty() {
         membership.remove(&gone).await?;
     }
-    Ok(())
+    announced
 }
 
 fn apply(gateway: &Arc<Gateway>, names: BTreeSet<SmolStr>) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod buffered;
 mod crashes;
 mod fleet;
+mod guards;
 mod handler;
 mod loads;
 mod members;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,9 +32,9 @@
 use super::attempt::wait_until_stalled;
 use super::buffered;
 use super::crashes;
-use super::fleet::AdmissionPermit;
-use super::fleet::AttemptGuard;
 use super::fleet::Target;
+use super::guards::AdmissionPermit;
+use super::guards::AttemptGuard;
 use super::handler::refuse;
 use super::response::Body;
 
