Test that gateways know each other while the store accepts no writes

gateways_are_known_without_writes fails if the list is read only after the own statement was accepted: a gateway that started then took whole limits for itself. A gauge shows how many gateways share the limits.

--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -34,6 +34,8 @@
     Available,
     /// Answers with status 503.
     Unavailable,
+    /// Serves reads and answers writes with status 503.
+    ReadOnly,
     /// Leaves requests unanswered until the mode changes.
     Unresponsive,
     /// Answers with status 200 and a body that is not JSON.
@@ -127,6 +129,13 @@
         self.put_json("servers", id, &entry);
     }
 
+    /// Returns the number of rows of a table.
+    pub fn count_rows(&self, table: &str) -> usize {
+        let rows = lock(&self.rows);
+        let is_present = |r: &&Row| r.table == table && r.value.is_some();
+        rows.values().filter(is_present).count()
+    }
+
     /// Returns the address of a registered replica.
     ///
     /// # Panics
@@ -177,7 +186,7 @@
     async fn injected_answer(&self) -> Option<Response> {
         let mode = *self.mode.borrow();
         match mode {
-            StoreMode::Available => None,
+            StoreMode::Available | StoreMode::ReadOnly => None,
             StoreMode::Unavailable => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
             StoreMode::Malformed => Some("\u{1}nonsense".into_response()),
             StoreMode::Unresponsive => {
@@ -209,6 +218,9 @@
     if let Some(answer) = store.injected_answer().await {
         return answer;
     }
+    if *store.mode.borrow() == StoreMode::ReadOnly {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let is_operators = |r: &RowChange| r.table == "op" || r.table == "servers";
     let changes = || transaction.writes.iter().chain(&transaction.remove);
     if changes().any(is_operators) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -285,9 +285,9 @@
         (before, self.server_limits.count_gateways())
     }
 
-    /// Returns the number of backend servers that name a limit.
-    pub fn count_server_limits(&self) -> usize {
-        self.server_limits.count()
+    /// Returns the limits that backend servers name.
+    pub fn server_limits(&self) -> &ServerLimits {
+        &self.server_limits
     }
 
     /// Repeats the latest load report of every backend server and closes expired idle connections.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,6 +53,8 @@
     pub total: Histogram,
     /// Crashes of backend servers.
     pub crashes: Counter,
+    /// Gateways that share the request limits of backend servers.
+    pub gateways: Gauge,
     /// Backend servers that name a request limit.
     pub limited_servers: Gauge,
     /// Blocked parts of prompts.
@@ -76,6 +78,7 @@
             event_gap: register_latency(all, "pause_seconds", "Time between two events"),
             total: register_latency(all, "answer_seconds", "Time to the end of the answer"),
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
+            gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             config_version: register(all, "config_version", "Version in force"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -118,11 +118,13 @@
                 .map_or(f64::INFINITY, |a| a.as_secs_f64());
             (version, age)
         };
-        let (states, limited) = {
+        let states = {
             let fleet = self.fleet();
-            (fleet.list_states(now), fleet.count_server_limits())
+            let limits = fleet.server_limits();
+            self.metrics.gateways.set(limits.count_gateways() as i64);
+            self.metrics.limited_servers.set(limits.count() as i64);
+            fleet.list_states(now)
         };
-        self.metrics.limited_servers.set(limited as i64);
         self.metrics.update_gauges(version, age, &states);
         let blocked = self.crashes.count_blocked(now);
         self.metrics.blocked_parts.set(blocked as i64);
--- a/tests/integration/limited_servers.rs
+++ b/tests/integration/limited_servers.rs
@@ -7,8 +7,10 @@
 use http::StatusCode;
 use siskinbend_standins::site::check::Caller;
 use siskinbend_standins::site::replica::Replica;
+use siskinbend_standins::site::store::StoreMode;
 
 use crate::deployment::Deployment;
+use crate::deployment::EVENT_TIMEOUT;
 use crate::deployment::Gateway;
 
 /// Limit of one of two servers, in requests a second.
@@ -65,3 +67,26 @@
     assert!(peak as f64 <= allowed, "{peak} requests in {WINDOW:?}");
     assert!(peak > 0, "the server gets no requests at all");
 }
+
+/// Guards against a gateway that takes whole limits for itself because the store accepts no writes.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_are_known_without_writes() {
+    let deployment = Deployment::start().await;
+    let started = Instant::now();
+    while deployment.site.store.count_rows("gateways") == 0 {
+        assert!(started.elapsed() < EVENT_TIMEOUT, "no gateway is listed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    deployment.site.store.set_mode(StoreMode::ReadOnly);
+    let second = Gateway::start(&deployment.site, 1).await;
+    let started = Instant::now();
+    loop {
+        let caller = Caller::default();
+        let page = caller.call(second.metrics, "/metrics", "m").await.body;
+        if page.is_some_and(|text| text.contains("siskinbend_gateways 2")) {
+            break;
+        }
+        assert!(started.elapsed() < EVENT_TIMEOUT, "the first is not known");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
