Make fewer calls to the store for crashes and the list of gateways

A gateway whose connection to the store went silent learns of others' crashes after 9 s at most instead of 4.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -38,7 +38,12 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Long-poll duration of a watch of the shared log. A connection that has gone silent is noticed
 /// after it.
-const LOG_POLL: Duration = Duration::from_secs(3);
+const LOG_POLL: Duration = Duration::from_secs(8);
+/// Delay after a change of the shared log before the next watch. It batches the reports of one crash
+/// by many gateways.
+const BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Interval of complete reads of the shared log, in case the store did not report a change.
+const RESYNC_INTERVAL: Duration = Duration::from_secs(60);
 /// Initial delay before an entry is written again after a failure; it doubles up to
 /// [`MAX_WRITE_DELAY`].
 const MIN_WRITE_DELAY: Duration = Duration::from_millis(150);
@@ -193,7 +198,7 @@
     let mut position: Option<Position> = None;
     let mut backoff = Backoff::new("crashes");
     loop {
-        let current = position.filter(Position::is_current);
+        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => source.watch(current.after, LOG_POLL).await,
             None => source.read().await,
@@ -206,8 +211,12 @@
                     Some(current) => current.advance(read.position),
                     None => Position::of_read(read.position),
                 });
+                let changed = !read.content.is_empty();
                 let expired = apply(&gateway, read.content, now);
                 remove(&gateway, &expired).await;
+                if changed {
+                    sleep(BATCH_DELAY).await;
+                }
             }
             Err(SourceError::HistoryGone) => position = None,
             Err(error) => backoff.wait(error, now).await,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -14,10 +14,10 @@
 use crate::clock::unix_millis;
 
 /// Interval at which a gateway states that it runs and reads which others do.
-const INTERVAL: Duration = Duration::from_secs(15);
+const INTERVAL: Duration = Duration::from_secs(25);
 /// Age of a statement from which its gateway no longer shares limits. It spans several statements, so
 /// that one that was missed or is read late does not change the shares.
-const MAX_AGE: Duration = Duration::from_secs(50);
+const MAX_AGE: Duration = Duration::from_secs(80);
 /// Age of a statement from which it is removed.
 const REMOVAL_AGE: Duration = Duration::from_secs(600);
 
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -70,9 +70,9 @@
         Position { after, ..self }
     }
 
-    /// Whether the next complete read is not due yet.
-    pub fn is_current(&self) -> bool {
-        self.read_at.elapsed() < RESYNC_INTERVAL
+    /// Whether the next complete read is not due yet, if they are made at this interval.
+    pub fn is_current(&self, interval: Duration) -> bool {
+        self.read_at.elapsed() < interval
     }
 }
 
@@ -119,7 +119,7 @@
     let mut backoff = Backoff::new("config");
     loop {
         let requested_at = gateway.now();
-        let current = position.filter(Position::is_current);
+        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => source.watch_config(current.after, CONFIG_POLL).await,
             None => source.read_config().await,
@@ -163,7 +163,7 @@
     let mut position: Option<Position> = None;
     let mut backoff = Backoff::new("servers");
     loop {
-        let current = position.filter(Position::is_current);
+        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => source
                 .watch_servers(current.after, REGISTRY_POLL)
