Count crashes in answers that are read as a whole

A broken connection was evidence only before the head of an answer and in streams, so a prompt that crashes servers on a route whose answers are read as a whole was never blocked. whole_answers_are_evidence failed before.

--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -98,6 +98,18 @@
     Ipv4Addr::new(127, 0, subnet, 1 + replica as u8).into()
 }
 
+/// Starts a replica on a free port of a VM, and registers it at each of its starts.
+async fn start_replica(
+    store: &Arc<Store>,
+    replica: &Arc<Replica>,
+    service: &'static str,
+    vm: IpAddr,
+) -> std::io::Result<()> {
+    let (store, id) = (Arc::clone(store), replica.id.clone());
+    let register = move |address| store.register_replica(&id, service, address);
+    Arc::clone(replica).spawn((vm, 0).into(), register).await
+}
+
 impl Site {
     /// Returns the loopback address that stands for the VM of a gateway.
     pub fn gateway_address(&self, gateway: usize) -> IpAddr {
@@ -133,18 +145,14 @@
         let (mut plain_replicas, mut model_replicas) = (Vec::new(), Vec::new());
         for n in 0..2 {
             let replica = Arc::new(Replica::new(format!("i-desk{n}"), None));
-            let address = server::spawn(Arc::clone(&replica).build_router()).await?;
-            store.register_replica(&replica.id, "desk", address);
+            start_replica(&store, &replica, "desk", Ipv4Addr::LOCALHOST.into()).await?;
             plain_replicas.push(replica);
         }
         for n in 0..groups.len() * ranks {
             // Groups alternate, so that the addresses of their ranks are mixed.
             let membership = Some((Arc::clone(&groups[n % groups.len()]), n / groups.len()));
             let replica = Arc::new(Replica::new(format!("i-draft{n}"), membership));
-            let (registry, id) = (Arc::clone(&store), replica.id.clone());
-            let register = move |address| registry.register_replica(&id, "drafts", address);
-            let address = (vm_address(subnet, n), 0).into();
-            Arc::clone(&replica).spawn(address, register).await?;
+            start_replica(&store, &replica, "drafts", vm_address(subnet, n)).await?;
             model_replicas.push(replica);
         }
         store.put_json("op", "config", &build_config(1, &shape));
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
+use siskinbend_link::ConnectionError;
 use siskinbend_link::read_body_within;
 use siskinbend_request::AttemptFailure;
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
+use siskinbend_routing::AttemptStage;
 use siskinbend_types::Reason;
 use tokio::time::timeout;
 
@@ -19,6 +21,7 @@
 use super::attempt::decide_next;
 use super::attempt::send_attempt;
 use super::attempt::strip_hop_by_hop;
+use super::crashes;
 use super::fleet::Target;
 use super::handler::refuse;
 use super::response::Body;
@@ -108,6 +111,10 @@
                 error:% = error;
                 "answer_broken"
             );
+            if error == ConnectionError::Broken {
+                // How much of the answer the server had written is unknown.
+                crashes::record_loss(gateway, call, &attempt.target, AttemptStage::Starting);
+            }
             attempt.finish(AttemptResult::Failed);
             return Err(AttemptFailure::ConnectionLost);
         }
--- a/tests/integration/crashing_prompts.rs
+++ b/tests/integration/crashing_prompts.rs
@@ -51,9 +51,9 @@
     answer.status
 }
 
-/// Lets every model replica crash on the part.
+/// Lets every replica crash on the part.
 fn crash_on_part(site: &Site) {
-    for replica in &site.model_replicas {
+    for replica in site.model_replicas.iter().chain(&site.plain_replicas) {
         *replica.crash_part.lock().expect("the lock") = Some("bad".to_owned());
     }
 }
@@ -150,3 +150,19 @@
     wait_until_blocked(&third).await;
     assert!(is_refused(third.callers).await);
 }
+
+/// Guards against overlooking crashes in answers that a gateway reads as a whole before it passes
+/// them on.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answers_are_evidence() {
+    let deployment = Deployment::start().await;
+    crash_on_part(&deployment.site);
+    let caller = Caller::default();
+    for number in 0..2 {
+        let (id, prompt) = (format!("w{number}"), "bad:20,own:600");
+        let answer = caller.call_with_prompt(deployment.callers, "/stock/x/", &id, prompt);
+        assert_ne!(answer.await.status, Some(StatusCode::OK));
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(is_refused(deployment.callers).await);
+}
