--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! A backend server that crashes takes all of its requests with it, and one gateway sees only those
 //! that it sent. The tracker compares the requests of several crashes, also of those that other
-//! gateways reported: a part that was at several crashes and in no request that was answered is blocked.
+//! gateways reported: a part that was at several crashes, and in no request that was answered since,
+//! is blocked.
 //! The last part of a prompt belongs to one request and is not compared.
 
 use std::collections::BTreeMap;
@@ -202,12 +203,9 @@
 }
 
 impl CrashTracker {
-    /// Creates a tracker without crashes.
-    pub fn new(settings: Settings) -> CrashTracker {
-        CrashTracker {
-            settings,
-            ..CrashTracker::default()
-        }
+    /// Returns the time for which a crash counts.
+    pub fn retention(&self) -> Duration {
+        self.settings.retention
     }
 
     /// Records a crash at the time `at`; several reports of the same crash are merged. Returns the
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod buffered;
+mod crash_log;
 mod crashes;
 mod fleet;
 mod guards;
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use super::REFRESH_INTERVAL;
-use super::crashes;
+use super::crash_log;
 use super::members;
 
 /// Long-poll duration of a configuration watch. It must be shorter than the maximum age at which
@@ -33,7 +33,7 @@
 pub(super) fn start(gateway: &Arc<Gateway>) {
     tokio::spawn(watch_config(Arc::clone(gateway)));
     tokio::spawn(watch_servers(Arc::clone(gateway)));
-    tokio::spawn(crashes::watch(Arc::clone(gateway)));
+    tokio::spawn(crash_log::watch(Arc::clone(gateway)));
     tokio::spawn(members::run(Arc::clone(gateway)));
     tokio::spawn(refresh_periodically(Arc::clone(gateway)));
 }
--- a/tests/integration/crashing_prompts.rs
+++ b/tests/integration/crashing_prompts.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use http::StatusCode;
 use siskinbend_standins::site::Site;
@@ -12,7 +11,6 @@
 use siskinbend_standins::site::store::StoreMode;
 
 use crate::deployment::Deployment;
-use crate::deployment::EVENT_TIMEOUT;
 use crate::deployment::Gateway;
 
 /// Crashes after which requests with the same part may no longer reach replicas.
@@ -21,6 +19,8 @@
 const AGREEMENT_TIME: Duration = Duration::from_secs(3);
 /// Requests with that part that may still reach replicas.
 const MAX_LATE_REQUESTS: usize = 3;
+/// Metric that shows a blocked part, without a request that might crash replicas.
+const ONE_BLOCKED: &str = "siskinbend_blocked_prompt_parts 1";
 /// Sound requests sent through each gateway afterwards.
 const SOUND_REQUESTS: u32 = 10;
 /// Pause after a crash, longer than a replica takes to restart.
@@ -69,20 +69,6 @@
     body.contains("prompt_blocked") && answer.after.is_some_and(|after| after > 60.0)
 }
 
-/// Waits until a gateway has a blocked part, without sending it a request that might crash replicas.
-async fn wait_until_blocked(gateway: &Gateway) {
-    let started = Instant::now();
-    loop {
-        let caller = Caller::default();
-        let page = caller.call(gateway.metrics, "/metrics", "m").await.body;
-        if page.is_some_and(|text| text.contains("siskinbend_blocked_prompt_parts 1")) {
-            return;
-        }
-        assert!(started.elapsed() < EVENT_TIMEOUT, "no part is blocked");
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
-
 /// Sends a sound request that shares the caller and the first part with those that crash replicas.
 async fn is_sound_served(gateway: SocketAddr, id: &str) -> bool {
     let prompt = format!("first:40,{id}:600");
@@ -144,10 +130,10 @@
     send_crashing(deployment.callers, 1).await;
     assert!(is_refused(deployment.callers).await);
     site.store.set_mode(StoreMode::Available);
-    wait_until_blocked(&second).await;
+    second.wait_for_metric(ONE_BLOCKED).await;
     assert!(is_refused(second.callers).await);
     let third = Gateway::start(site, 2).await;
-    wait_until_blocked(&third).await;
+    third.wait_for_metric(ONE_BLOCKED).await;
     assert!(is_refused(third.callers).await);
 }
 
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -130,6 +130,20 @@
             metrics,
         }
     }
+
+    /// Waits until the metrics contain a line.
+    pub async fn wait_for_metric(&self, line: &str) {
+        let started = Instant::now();
+        loop {
+            let caller = Caller::default();
+            let page = caller.call(self.metrics, "/metrics", "m").await.body;
+            if page.is_some_and(|text| text.lines().any(|l| l == line)) {
+                return;
+            }
+            assert!(started.elapsed() < EVENT_TIMEOUT, "no metric {line}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
 }
 
 /// A gateway under test with the stand-ins of its platform.
--- a/tests/integration/limited_servers.rs
+++ b/tests/integration/limited_servers.rs
@@ -79,14 +79,5 @@
     }
     deployment.site.store.set_mode(StoreMode::ReadOnly);
     let second = Gateway::start(&deployment.site, 1).await;
-    let started = Instant::now();
-    loop {
-        let caller = Caller::default();
-        let page = caller.call(second.metrics, "/metrics", "m").await.body;
-        if page.is_some_and(|text| text.contains("siskinbend_gateways 2")) {
-            break;
-        }
-        assert!(started.elapsed() < EVENT_TIMEOUT, "the first is not known");
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    second.wait_for_metric("siskinbend_gateways 2").await;
 }
