Let gateways without a share take turns by the time of day

Gateways without a share of a server's limit took turns by their own clocks, which count from the start of each VM: the turns of many could fall together. limit_holds_for_any_number_of_gateways now starts the gateways so that they do, and failed with 14 requests at once for a limit of 0.

--- a/crates/routing/src/server_limits.rs
+++ b/crates/routing/src/server_limits.rs
@@ -21,7 +21,7 @@
 /// Time of a gateway's rate that it can save up, beyond a single request.
 const BURST: Duration = Duration::from_millis(250);
 /// Time in which one of the gateways without a share may send a request, to find out whether the
-/// limit still holds. They take turns.
+/// limit still holds. They take turns by the time of day.
 const PROBE_SLOT: Duration = Duration::from_secs(3);
 
 /// Change of a backend server's limit.
@@ -59,7 +59,7 @@
 }
 
 impl Limit {
-    fn new(rate: Rate, rank: usize, now: Time) -> Limit {
+    fn new(rate: Rate, rank: usize, used_slot: u64, now: Time) -> Limit {
         Limit {
             rate,
             rank,
@@ -67,7 +67,7 @@
             // This gateway has just sent the request whose answer named the limit.
             tokens: 0.0,
             refilled_at: now,
-            used_slot: slot_number(now),
+            used_slot,
         }
     }
 
@@ -97,14 +97,10 @@
     fn record_dispatch(&mut self, gateways: &Gateways, now: Time) {
         self.refill(gateways, now);
         self.tokens = (self.tokens - 1.0).max(0.0);
-        self.used_slot = slot_number(now);
+        self.used_slot = gateways.slot_number(now);
     }
 }
 
-fn slot_number(now: Time) -> u64 {
-    now.since(Time::default()).as_secs() / PROBE_SLOT.as_secs()
-}
-
 /// Gateways of the deployment, including this one.
 #[derive(Debug)]
 struct Gateways {
@@ -112,6 +108,8 @@
     names: BTreeSet<SmolStr>,
     /// Position of this gateway's name.
     turn: usize,
+    /// Time of day at the origin of this gateway's clock, since 1970.
+    clock_origin: Duration,
 }
 
 impl Gateways {
@@ -120,9 +118,15 @@
             names: BTreeSet::from([own.clone()]),
             own,
             turn: 0,
+            clock_origin: Duration::ZERO,
         }
     }
 
+    fn slot_number(&self, now: Time) -> u64 {
+        let time_of_day = self.clock_origin + now.since(Time::default());
+        time_of_day.as_secs() / PROBE_SLOT.as_secs()
+    }
+
     fn replace(&mut self, names: BTreeSet<SmolStr>) {
         self.names = names;
         self.names.insert(self.own.clone());
@@ -148,7 +152,7 @@
         if rate > 0.0 && rank < sharing {
             return Allowance::Share(rate / sharing.min(count) as f64);
         }
-        let slot = slot_number(now);
+        let slot = self.slot_number(now);
         match slot % count as u64 == self.turn as u64 {
             true => Allowance::Probe(slot),
             false => Allowance::Nothing,
@@ -173,11 +177,14 @@
     }
 
     /// Sets the names of the gateways that share the limits; this one is always among them.
-    pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, now: Time) {
+    /// `time_of_day` is the time since 1970, by which the gateways take turns.
+    pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, time_of_day: Duration, now: Time) {
         for limit in self.limits.values_mut() {
             limit.refill(&self.gateways, now);
         }
         self.gateways.replace(names);
+        let uptime = now.since(Time::default());
+        self.gateways.clock_origin = time_of_day.saturating_sub(uptime);
         for (server, limit) in &mut self.limits {
             limit.rank = self.gateways.find_rank(server);
         }
@@ -210,8 +217,9 @@
             }
             (None, Some(rate)) => {
                 let rank = self.gateways.find_rank(server);
-                self.limits
-                    .insert(server.clone(), Limit::new(rate, rank, now));
+                let slot = self.gateways.slot_number(now);
+                let limit = Limit::new(rate, rank, slot, now);
+                self.limits.insert(server.clone(), limit);
             }
             (Some(known), None) if sent_at > known.named_at => {
                 self.limits.remove(server);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -279,9 +279,14 @@
 
     /// Sets the gateways that share the limits of backend servers. Returns their number before and
     /// now.
-    pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, now: Time) -> (usize, usize) {
+    pub fn set_gateways(
+        &mut self,
+        names: BTreeSet<SmolStr>,
+        time_of_day: Duration,
+        now: Time,
+    ) -> (usize, usize) {
         let before = self.server_limits.count_gateways();
-        self.server_limits.set_gateways(names, now);
+        self.server_limits.set_gateways(names, time_of_day, now);
         (before, self.server_limits.count_gateways())
     }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -60,7 +60,8 @@
 
 fn apply(gateway: &Arc<Gateway>, names: BTreeSet<SmolStr>) {
     let now = gateway.now();
-    let (before, after) = gateway.fleet().set_gateways(names, now);
+    let time_of_day = Duration::from_millis(unix_millis());
+    let (before, after) = gateway.fleet().set_gateways(names, time_of_day, now);
     if before != after {
         log::info!(before, after; "gateways_changed");
     }
--- a/tests/integration/server_limits.rs
+++ b/tests/integration/server_limits.rs
@@ -16,6 +16,10 @@
 const WINDOW_MS: u64 = 4_000;
 /// Step of the simulated time, in milliseconds.
 const STEP_MS: u64 = 10;
+/// Length of a gateway's turn, in milliseconds.
+const TURN_MS: u64 = 3_000;
+/// Time of day at the start of a run, since 1970.
+const START_OF_DAY: Duration = Duration::from_secs(1_000_000_000);
 /// Simulated time, in milliseconds.
 const RUN_MS: u64 = 60_000;
 
@@ -33,28 +37,42 @@
         .collect()
 }
 
-/// Creates the limits of `count` gateways that know each other, all of which have been told the
-/// server's limit at the start.
-fn gateways(count: usize, limit: f64) -> Vec<ServerLimits> {
-    let create = |name: SmolStr| {
+/// Gateway with a clock of its own.
+struct Gateway {
+    limits: ServerLimits,
+    /// Reading of its clock at the start.
+    start: Time,
+}
+
+impl Gateway {
+    /// Creates a gateway that knows `count` gateways and has been told the server's limit.
+    fn new(name: SmolStr, count: usize, limit: f64, start: Time) -> Gateway {
         let mut limits = ServerLimits::new(name);
-        limits.set_gateways(names(count), Time::default());
-        let now = Time::default();
-        limits.record_answer(&server(), Some(rate(limit)), now, now);
-        limits
-    };
-    names(count).into_iter().map(create).collect()
+        limits.set_gateways(names(count), START_OF_DAY, start);
+        limits.record_answer(&server(), Some(rate(limit)), start, start);
+        Gateway { limits, start }
+    }
+}
+
+/// Creates `count` gateways that know each other. By their own clocks, the turns of all to try a
+/// server without a share come at the same moment.
+fn gateways(count: usize, limit: f64) -> Vec<Gateway> {
+    let start = |turn: usize| Time::from_millis((turn + count - 2.min(count)) as u64 * TURN_MS);
+    let names = names(count).into_iter().enumerate();
+    names
+        .map(|(turn, name)| Gateway::new(name, count, limit, start(turn)))
+        .collect()
 }
 
 /// Sends a request whenever a gateway may and `wants` it to. Returns the times in milliseconds.
-fn send_all<Wants>(gateways: &mut [ServerLimits], mut wants: Wants) -> Vec<u64>
+fn send_all<Wants>(gateways: &mut [Gateway], mut wants: Wants) -> Vec<u64>
 where
     Wants: FnMut(usize, u64) -> bool,
 {
     let mut sent = Vec::new();
     for at in (0..RUN_MS).step_by(STEP_MS as usize) {
-        let now = Time::from_millis(at);
-        for (n, limits) in gateways.iter_mut().enumerate() {
+        for (n, Gateway { limits, start }) in gateways.iter_mut().enumerate() {
+            let now = *start + Duration::from_millis(at);
             while wants(n, at) && limits.list_exhausted(now).is_empty() {
                 limits.record_dispatch(&server(), now);
                 sent.push(at);
@@ -104,8 +122,8 @@
 /// Guards against a gateway that never finds out that a limit has ended, however small its share.
 #[test]
 fn every_gateway_asks_again() {
-    for mut limits in gateways(14, 0.0) {
-        let sent = send_all(std::slice::from_mut(&mut limits), |_, _| true);
+    for mut gateway in gateways(14, 0.0) {
+        let sent = send_all(std::slice::from_mut(&mut gateway), |_, _| true);
         assert!(!sent.is_empty());
     }
 }
@@ -131,15 +149,7 @@
 fn joining_gateway_stays_within_limit() {
     let limit = 10.0;
     let mut all = gateways(3, limit);
-    let mut joined = ServerLimits::new("edge-3".into());
-    joined.set_gateways(names(4), Time::default());
-    joined.record_answer(
-        &server(),
-        Some(rate(limit)),
-        Time::default(),
-        Time::default(),
-    );
-    all.push(joined);
+    all.push(Gateway::new("edge-3".into(), 4, limit, Time::default()));
     let sent = send_all(&mut all, |_, _| true);
     let allowed = 1.5 * limit * Duration::from_millis(WINDOW_MS).as_secs_f64() + 5.0;
     assert!(find_peak(&sent) as f64 <= allowed, "{}", find_peak(&sent));
