--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -274,7 +274,7 @@
     /// blocked part accounts for are no evidence against the other parts of its requests.
     fn block_causes(&mut self, now: Time) -> Vec<BlockedPart> {
         let mut causes = Vec::new();
-        while let Some((part, evidence)) = self.find_cause() {
+        while let Some((part, evidence)) = self.find_cause(now) {
             let servers = self.unexplained().filter(|c| c.weigh(&part) > 0);
             causes.push(BlockedPart {
                 part: part.clone(),
@@ -292,13 +292,13 @@
     }
 
     /// Returns the part with the most evidence against it, if that is enough to block it.
-    fn find_cause(&self) -> Option<(PromptPart, Evidence)> {
+    fn find_cause(&self, now: Time) -> Option<(PromptPart, Evidence)> {
         let parts: BTreeSet<&PromptPart> = self
             .unexplained()
             .flat_map(|c| &c.suspects)
             .flat_map(|s| &s.parts)
             .collect();
-        let weighed = parts.into_iter().map(|part| (part, self.weigh(part)));
+        let weighed = parts.into_iter().map(|part| (part, self.weigh(part, now)));
         let is_enough = |evidence: &Evidence| {
             let settings = &self.settings;
             evidence.weight
@@ -314,8 +314,9 @@
 
     /// Weighs the evidence against a part. Crashes before an answered request with the part was sent
     /// don't count.
-    fn weigh(&self, part: &PromptPart) -> Evidence {
-        let answered = self.answered.find(part);
+    fn weigh(&self, part: &PromptPart, now: Time) -> Evidence {
+        let is_recent = |sent_at: &Time| now.since(*sent_at) < self.settings.retention;
+        let answered = self.answered.find(part).filter(is_recent);
         let mut crashes: Vec<&Crash> = self
             .unexplained()
             .filter(|c| c.weigh(part) > 0 && answered.is_none_or(|sent_at| c.at > sent_at))
@@ -341,7 +342,8 @@
         let mut rest = crashes;
         while let Some(first) = rest.first() {
             let is_together = |c: &&&Crash| c.at.since(first.at) < self.settings.episode;
-            let (episode, later) = rest.split_at(rest.iter().take_while(is_together).count());
+            let length = rest.iter().take_while(is_together).count();
+            let (episode, later) = rest.split_at(length.max(1));
             let suspects = episode.iter().flat_map(|c| &c.suspects);
             let new: Vec<&Suspect> = suspects
                 .filter(|s| s.parts.contains(part) && !counted.contains(&s.request))
--- a/tests/integration/crash_tracker.rs
+++ b/tests/integration/crash_tracker.rs
@@ -48,7 +48,7 @@
 
 /// Time of crash `n`.
 fn crash_time(n: u64) -> Time {
-    Time::from_millis(100_000 + n * CRASH_INTERVAL_MS)
+    Time::from_millis(1_000_000 + n * CRASH_INTERVAL_MS)
 }
 
 /// Records crash `n`, of a server of its own.
@@ -134,6 +134,16 @@
     assert_eq!(later[3], ["sound"]);
 }
 
+/// Guards against trusting a part because of an answer from long ago.
+#[test]
+fn old_answers_are_forgotten() {
+    let mut tracker = CrashTracker::default();
+    let long_ago = crash_time(0).before(Settings::default().retention);
+    tracker.record_answer(&parts(&["bad"]), long_ago);
+    assert!(crash(&mut tracker, 0, vec![starting(&["bad"])]).is_empty());
+    assert_eq!(crash(&mut tracker, 1, vec![starting(&["bad"])]), ["bad"]);
+}
+
 /// Guards against missing a part whose answers break before the gateway sees their beginning, and
 /// against blaming answers that were well under way.
 #[test]
