Block no part that the evidence does not single out

Two parts of different requests that were at the same two crashes have the same evidence; the one whose id sorts last was blocked, so a sound part could be blocked in place of the crashing one. Such parts now wait for a further crash, up to the fourth. tied_parts_wait_for_more and ties_end failed before.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -291,25 +291,31 @@
         self.crashes.iter().filter(|c| !c.is_explained(blocked))
     }
 
-    /// Returns the part with the most evidence against it, if that is enough to block it.
+    /// Returns the part with the most evidence against it, if that is enough to block it. Parts that
+    /// the evidence does not tell apart wait for more of it.
     fn find_cause(&self, now: Time) -> Option<(PromptPart, Evidence)> {
         let parts: BTreeSet<&PromptPart> = self
             .unexplained()
             .flat_map(|c| &c.suspects)
             .flat_map(|s| &s.parts)
             .collect();
-        let weighed = parts.into_iter().map(|part| (part, self.weigh(part, now)));
-        let is_enough = |evidence: &Evidence| {
-            let settings = &self.settings;
-            evidence.weight
-                >= match evidence.is_unknown {
-                    true => settings.unknown_threshold,
-                    false => settings.answered_threshold,
-                }
+        let weighed: Vec<(&PromptPart, Evidence)> = parts
+            .into_iter()
+            .map(|part| (part, self.weigh(part, now)))
+            .filter(|(_, evidence)| self.is_enough(evidence))
+            .collect();
+        let (part, most) = weighed.iter().max_by_key(|(_, evidence)| *evidence)?;
+        let is_tied = weighed.iter().filter(|(_, e)| e == most).count() > 1;
+        let can_wait = most.weight < self.settings.answered_threshold;
+        (!(is_tied && can_wait)).then(|| ((*part).clone(), *most))
+    }
+
+    fn is_enough(&self, evidence: &Evidence) -> bool {
+        let threshold = match evidence.is_unknown {
+            true => self.settings.unknown_threshold,
+            false => self.settings.answered_threshold,
         };
-        let guilty = weighed.filter(|(_, evidence)| is_enough(evidence));
-        let worst = guilty.max_by_key(|(_, evidence)| *evidence);
-        worst.map(|(part, evidence)| (part.clone(), evidence))
+        evidence.weight >= threshold
     }
 
     /// Weighs the evidence against a part. Crashes before an answered request with the part was sent
--- a/tests/integration/crash_tracker.rs
+++ b/tests/integration/crash_tracker.rs
@@ -86,6 +86,30 @@
     assert_eq!(tracker.count_blocked(now), 1);
 }
 
+/// Guards against blocking a sound part that happened to be at the same crashes as the one that
+/// causes them.
+#[test]
+fn tied_parts_wait_for_more() {
+    let mut tracker = CrashTracker::default();
+    let both = || vec![starting(&["bad"]), starting(&["sound"])];
+    for n in 0..2 {
+        let blocked = crash(&mut tracker, n, both());
+        assert!(blocked.is_empty(), "{blocked:?}");
+    }
+    assert_eq!(crash(&mut tracker, 2, vec![starting(&["bad"])]), ["bad"]);
+    assert!(!is_blocked(&tracker, "sound", crash_time(2)));
+}
+
+/// Guards against parts that are never blocked because others are always at the same crashes.
+#[test]
+fn ties_end() {
+    let mut tracker = CrashTracker::default();
+    let both = || vec![starting(&["one"]), starting(&["other"])];
+    let blocked: Vec<_> = (0..4).map(|n| crash(&mut tracker, n, both())).collect();
+    assert!(blocked[..3].iter().all(Vec::is_empty), "{blocked:?}");
+    assert_eq!(blocked[3].len(), 1);
+}
+
 /// Guards against blocking the other parts for crashes that a blocked part accounts for.
 #[test]
 fn explained_crashes_are_no_evidence() {
