Give the agents of a test group distinct ports

The test drew one port after the other and closed each before the next, so the kernel could give the same one twice. It now uses the function of the other tests, which counts ports up below the kernel's own range; its copy is removed.

--- a/tests/integration/group_shell.rs
+++ b/tests/integration/group_shell.rs
@@ -1,9 +1,6 @@
 //! Tests of the agents of a group with a simulated group of ranks, all in this process.
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -25,6 +22,8 @@
 use siskinbend_standins::platform;
 use siskinbend_standins::server;
 
+use crate::util::find_address;
+
 /// Ranks of the groups in the sample document.
 const RANKS: usize = 4;
 
@@ -61,18 +60,6 @@
     assert_eq!(status, 204, "{path} was refused");
 }
 
-/// Finds an address that is free for TCP and UDP; each agent needs the addresses of the others
-/// before it starts.
-fn find_free_address() -> SocketAddr {
-    loop {
-        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-        let address = tcp.local_addr().expect("the socket is bound");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 struct TestGroup {
     group: SocketAddr,
     platform: SocketAddr,
@@ -87,7 +74,7 @@
     /// Starts the stand-ins. `name` is the folder of the test's keys.
     async fn start(name: &str) -> TestGroup {
         let options = group::Options {
-            listen: find_free_address(),
+            listen: find_address(),
             name: "draft-a".to_owned(),
             ranks: 4,
             experts: 16,
@@ -114,10 +101,10 @@
         TestGroup {
             group: server::spawn(router).await.expect("a port is free"),
             platform: platform.expect("a port is free"),
-            admins: (0..RANKS).map(|_| find_free_address()).collect(),
-            unused_address: find_free_address(),
+            admins: (0..RANKS).map(|_| find_address()).collect(),
+            unused_address: find_address(),
             folder,
-            listens: (0..RANKS).map(|_| find_free_address()).collect(),
+            listens: (0..RANKS).map(|_| find_address()).collect(),
         }
     }
 
