Kill an agent before its test starts it again

The log of the restarted agent says "cannot bind the listener for other agents: Address already in use": the test started it before the earlier one, at the same address, was killed. It now kills that one and waits for its end first; what is checked stays the same.

The logs also show that the next agent made no new map for 19 s without that one.

--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -403,6 +403,9 @@
             .call("/draft/x/", &format!("i{}", started.elapsed().as_micros()))
             .await;
         if !killed && deployment.site.groups[0].switch_counts().0 > 0 {
+            // The new process binds the address of the old one, which must be gone by then.
+            agents[0].signal("KILL");
+            agents[0].wait().await;
             agents[0] = start(0);
             killed = true;
             // The demand changes, so that a new map is needed.
