Log which history of the store a gateway acts on

Cause: the store names its history in every answer, and nothing read it.

Change: the adapter decodes the header into a Timeline that is part of every position; gateways log store_restored and config_not_taken and serve the timeline as a metric. Decisions are unchanged.

Ruled out: telling a new history by positions that go back. The store may have passed the old position when a gateway reads it again.

--- a/crates/site/src/crash_log.rs
+++ b/crates/site/src/crash_log.rs
@@ -8,6 +8,7 @@
 use siskinbend_routing::crashes::CrashReport;
 use smol_str::SmolStr;
 
+use crate::Position;
 use crate::SourceError;
 use crate::Versioned;
 
@@ -47,7 +48,7 @@
     /// [`SourceError`].
     async fn watch(
         &self,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Versioned<Vec<CrashEntry>>, SourceError>;
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -29,6 +29,7 @@
 pub use server::BackendServer;
 pub use server::ServerState;
 pub use settings::NodeSettings;
+pub use source::Position;
 pub use source::Source;
 pub use source::SourceError;
 pub use source::Versioned;
--- a/crates/site/src/source.rs
+++ b/crates/site/src/source.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use siskinbend_types::AgentId;
+use siskinbend_types::Timeline;
 
 use crate::BackendServer;
 use crate::Config;
@@ -32,13 +33,22 @@
     Removed(AgentId),
 }
 
+/// Position in the history of the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Position {
+    /// The history. Positions of different histories can't be compared.
+    pub timeline: Timeline,
+    /// Number of the latest change.
+    pub change: u64,
+}
+
 /// Content read from the store with its position in the store's history.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Versioned<Content> {
     /// Decoded rows.
     pub content: Content,
     /// Position up to which changes are included; the next watch starts after it.
-    pub position: u64,
+    pub position: Position,
 }
 
 /// Client of the platform's store.
@@ -66,7 +76,7 @@
     /// [`SourceError`].
     async fn watch_config(
         &self,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Versioned<Option<Config>>, SourceError>;
 
@@ -78,7 +88,7 @@
     /// [`SourceError`].
     async fn watch_servers(
         &self,
-        after: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Versioned<Vec<ServerChange>>, SourceError>;
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -92,6 +92,11 @@
     /// Dispatch window of an agent; increases with the agent's monotonic clock.
     Window, u64
 );
+counter!(
+    /// History of a store. A store that is restored from a copy starts a new one, which lacks what
+    /// was written after the copy was made.
+    Timeline, u64
+);
 
 /// Fencing number within a group, ordered by term and then by the coordinator's incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 pub use ids::FencingNumber;
 pub use ids::Incarnation;
 pub use ids::RequestId;
+pub use ids::Timeline;
 pub use ids::Version;
 pub use ids::Window;
 pub use name::AgentId;
--- a/src/gateway/crash_log.rs
+++ b/src/gateway/crash_log.rs
@@ -11,7 +11,7 @@
 use super::Gateway;
 use super::crashes;
 use super::store_watch::Backoff;
-use super::store_watch::Position;
+use super::store_watch::Cursor;
 use crate::clock::unix_millis;
 
 /// Long-poll duration of a watch of the shared log. A connection that has gone silent is noticed
@@ -50,7 +50,7 @@
 /// Watches the crashes that other gateways report.
 pub(super) async fn watch(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.crash_log);
-    let mut position: Option<Position> = None;
+    let mut position: Option<Cursor> = None;
     let mut backoff = Backoff::new("crashes");
     loop {
         let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
@@ -62,9 +62,10 @@
         match response {
             Ok(read) => {
                 backoff.reset(now);
+                gateway.record_timeline("crashes", read.position.timeline);
                 position = Some(match current {
                     Some(current) => current.advance(read.position),
-                    None => Position::of_read(read.position),
+                    None => Cursor::of_read(read.position),
                 });
                 let changed = !read.content.is_empty();
                 let expired = apply(&gateway, read.content, now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,8 @@
 use siskinbend_site::Source;
 use siskinbend_site::view;
 use siskinbend_types::Time;
+use siskinbend_types::Timeline;
+use tokio::sync::watch;
 
 use crate::clock::BootClock;
 use crate::peer::PeerClient;
@@ -73,6 +75,8 @@
     peers: PeerClient,
     /// Memory for the responses that are buffered at the same time.
     bodies: BodyBudget,
+    /// Latest history of the store in any answer; `None` before the first.
+    timeline: watch::Sender<Option<Timeline>>,
     view: Mutex<DeploymentView>,
     fleet: Mutex<Fleet>,
     crashes: Crashes,
@@ -104,6 +108,20 @@
         self.fleet.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Records the history that an answer of the store belongs to. Returns whether it is new.
+    fn record_timeline(&self, matter: &'static str, timeline: Timeline) -> bool {
+        let mut before = None;
+        let is_new = self.timeline.send_if_modified(|known| {
+            before = *known;
+            *known = before.max(Some(timeline));
+            *known != before
+        });
+        if let (true, Some(before)) = (is_new, before) {
+            log::warn!(matter, before:% = before, timeline:% = timeline; "store_restored");
+        }
+        is_new
+    }
+
     fn config(&self) -> Option<Arc<Config>> {
         self.view().config().cloned()
     }
@@ -127,6 +145,8 @@
             fleet.list_states(now)
         };
         self.metrics.update_gauges(version, age, &states);
+        let timeline = self.timeline.borrow().unwrap_or_default();
+        self.metrics.timeline.set(timeline.0 as i64);
         let blocked = self.crashes.count_blocked(now);
         self.metrics.blocked_parts.set(blocked as i64);
         self.metrics.encode()
@@ -156,6 +176,7 @@
     };
     let gateway = Arc::new(Gateway {
         fleet: Mutex::new(Fleet::new(&settings)),
+        timeline: watch::Sender::new(None),
         view: Mutex::new(DeploymentView::new(view_settings)),
         peers: PeerClient::new(settings.peers.port()),
         bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use siskinbend_site::Config;
+use siskinbend_site::Position;
 use siskinbend_site::SourceError;
 use siskinbend_types::Time;
 use tokio::time::Instant;
@@ -49,25 +50,25 @@
     }
 }
 
-/// Position in the store's history, and time of the last complete read.
+/// Position that a watch has reached, and time of the last complete read.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Position {
-    pub after: u64,
+pub(super) struct Cursor {
+    pub after: Position,
     read_at: Instant,
 }
 
-impl Position {
-    /// Creates the position of a complete read that has just ended.
-    pub fn of_read(after: u64) -> Position {
-        Position {
+impl Cursor {
+    /// Creates the cursor of a complete read that has just ended.
+    pub fn of_read(after: Position) -> Cursor {
+        Cursor {
             after,
             read_at: Instant::now(),
         }
     }
 
-    /// Returns the position after a watch.
-    pub fn advance(self, after: u64) -> Position {
-        Position { after, ..self }
+    /// Returns the cursor after a watch.
+    pub fn advance(self, after: Position) -> Cursor {
+        Cursor { after, ..self }
     }
 
     /// Whether the next complete read is not due yet, if they are made at this interval.
@@ -115,7 +116,7 @@
 
 async fn watch_config(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.source);
-    let mut position: Option<Position> = None;
+    let mut position: Option<Cursor> = None;
     let mut backoff = Backoff::new("config");
     loop {
         let requested_at = gateway.now();
@@ -128,9 +129,10 @@
         match response {
             Ok(read) => {
                 backoff.reset(now);
+                gateway.record_timeline("config", read.position.timeline);
                 position = Some(match current {
                     Some(current) => current.advance(read.position),
-                    None => Position::of_read(read.position),
+                    None => Cursor::of_read(read.position),
                 });
                 // A watch that ended without a change confirms the configuration for its duration.
                 let unchanged = current.is_some() && read.content.is_none();
@@ -147,7 +149,17 @@
 }
 
 fn apply_config(gateway: &Arc<Gateway>, content: Option<Config>, confirmed_at: Time, now: Time) {
-    let newer = gateway.view().update_config(content, confirmed_at);
+    let found = content.as_ref().map(|c| c.version);
+    let (newer, known) = {
+        let mut view = gateway.view();
+        let newer = view.update_config(content, confirmed_at);
+        (newer, view.config().map(|c| c.version))
+    };
+    if let (Some(found), Some(known)) = (found, known)
+        && found != known
+    {
+        log::warn!(version:% = found, known:% = known; "config_not_taken");
+    }
     if let Some(config) = newer {
         log::info!(
             version:% = config.version,
@@ -160,7 +172,7 @@
 
 async fn watch_servers(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.source);
-    let mut position: Option<Position> = None;
+    let mut position: Option<Cursor> = None;
     let mut backoff = Backoff::new("servers");
     loop {
         let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
@@ -176,13 +188,14 @@
             None => source.read_servers().await.map(|read| {
                 let now = gateway.now();
                 let updates = gateway.view().replace_servers(read.content, now);
-                (Position::of_read(read.position), updates)
+                (Cursor::of_read(read.position), updates)
             }),
         };
         let now = gateway.now();
         match response {
             Ok((reached, updates)) => {
                 backoff.reset(now);
+                gateway.record_timeline("servers", reached.after.timeline);
                 position = Some(reached);
                 let changed = !updates.is_empty();
                 gateway.fleet().apply(updates, now);
