Show what a restored store breaks

The stand-in of the users' store can be restored from a copy: versions go back and are assigned again, positions that it does not have get 410, and every answer names its history.

--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -12,12 +14,14 @@
 use axum::Router;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::middleware::map_response_with_state;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use http::HeaderValue;
 use http::StatusCode;
 use serde::Deserialize;
 use serde_json::Value;
@@ -51,6 +55,13 @@
     version: u64,
 }
 
+/// Copy of a store's rows, from which the store can be restored.
+#[derive(Debug)]
+pub struct StoreCopy {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+}
+
 /// The store; it has a single part, the empty one.
 #[derive(Debug)]
 pub struct Store {
@@ -59,6 +70,8 @@
     version: watch::Sender<u64>,
     /// The change feed no longer contains changes up to this version.
     compacted_version: Mutex<u64>,
+    /// Number of the store's history; rises when the store is restored.
+    era: AtomicU64,
     mode: watch::Sender<StoreMode>,
 }
 
@@ -68,6 +81,7 @@
             rows: Mutex::default(),
             version: watch::Sender::new(0),
             compacted_version: Mutex::default(),
+            era: AtomicU64::new(1),
             mode: watch::Sender::new(StoreMode::Available),
         }
     }
@@ -163,12 +177,31 @@
         *lock(&self.compacted_version) = *self.version.borrow();
     }
 
+    /// Copies all rows.
+    pub fn copy(&self) -> StoreCopy {
+        let rows = lock(&self.rows);
+        StoreCopy {
+            rows: rows.clone(),
+            version: *self.version.borrow(),
+        }
+    }
+
+    /// Restores the rows of a copy. What was written since is gone, and its versions are assigned
+    /// again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut rows = lock(&self.rows);
+        *rows = copy.rows;
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.version.send_replace(copy.version);
+    }
+
     /// Builds the routes.
     pub fn build_router(self: Arc<Self>) -> Router {
         Router::new()
             .route("/rows-get", get(read_rows))
             .route("/rows-feed", get(feed_rows))
             .route("/rows-tx", post(change_rows))
+            .layer(map_response_with_state(Arc::clone(&self), add_era))
             .with_state(self)
     }
 
@@ -201,6 +234,13 @@
     }
 }
 
+/// Names the store's history in an answer.
+async fn add_era(State(store): State<Arc<Store>>, mut answer: Response) -> Response {
+    let era = HeaderValue::from(store.era.load(Ordering::Relaxed));
+    answer.headers_mut().insert("store-era", era);
+    answer
+}
+
 fn encode_row(row: &Row) -> Value {
     match &row.value {
         Some(value) => json!({"table": row.table, "part": "", "key": row.key,
@@ -248,7 +288,8 @@
     if let Some(answer) = store.injected_answer().await {
         return answer;
     }
-    if query.after < *lock(&store.compacted_version) {
+    let is_unknown = query.after > *store.version.borrow();
+    if is_unknown || query.after < *lock(&store.compacted_version) {
         return StatusCode::GONE.into_response();
     }
     let changed = |r: &Row| r.table == query.table && r.version > query.after;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -51,6 +51,7 @@
 mod relay;
 mod request_history;
 mod request_random;
+mod restored_store;
 mod resumption;
 mod rollout;
 mod sample;
