Follow the history of the store when it was restored

In our tests a new route was not served within 2 s, a version that was assigned again never came into force, and rows of our own stayed lost.

Cause: positions and versions were compared without the history that they belong to. A gateway that noticed no outage watched on from a position of the lost history.

Change: every position carries its timeline, and an answer of another one starts a complete read. ConfigChoice decides by timeline, version and content; Registry keeps servers out that left in an earlier timeline. Gateways announce themselves and report their crashes again. After a failure the first call does not wait for changes.

--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -1,6 +1,9 @@
 //! Configuration of a deployment: routes, services, API keys and limits.
 
 use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::time::Duration;
 
 use siskinbend_types::Organisation;
@@ -9,7 +12,7 @@
 use smol_str::SmolStr;
 
 /// How a request may be retried, and whether its response is an event stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RequestKind {
     /// May run more than once.
     Idempotent,
@@ -34,7 +37,7 @@
 }
 
 /// Share of a route's requests that one service receives.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct TrafficShare {
     /// Service that receives the requests.
     pub service: ServiceName,
@@ -43,7 +46,7 @@
 }
 
 /// Routing rule for one host and path prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Route {
     /// Host name in lower case.
     pub host: SmolStr,
@@ -84,6 +87,18 @@
     pub copy_mbps: f64,
 }
 
+impl Hash for ExpertLayout {
+    fn hash<State>(&self, state: &mut State)
+    where
+        State: Hasher,
+    {
+        let counts = [self.sets, self.experts, self.rank_capacity, self.max_copies];
+        counts.hash(state);
+        self.expert_mb.to_bits().hash(state);
+        self.copy_mbps.to_bits().hash(state);
+    }
+}
+
 const BITS_PER_BYTE: f64 = 8.0;
 
 impl ExpertLayout {
@@ -95,7 +110,7 @@
 }
 
 /// Service that routes refer to.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Hash)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceName,
@@ -104,7 +119,7 @@
 }
 
 /// Owner of an API key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct KeyOwner {
     /// Organisation that the key belongs to.
     pub organisation: Organisation,
@@ -113,7 +128,7 @@
 }
 
 /// Size and time limits on requests and connections of callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallerLimits {
     /// Maximum size of the request line and headers.
     pub head_bytes: usize,
@@ -179,6 +194,14 @@
         routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Returns a hash of the content, which differs between configurations that were given the same
+    /// version.
+    pub fn fingerprint(&self) -> u64 {
+        let routes = sum_hashes(self.routes.iter());
+        let keys = self.keys.as_ref().map(|keys| sum_hashes(keys.iter()));
+        hash_one((routes, keys, &self.services, &self.limits))
+    }
+
     /// Finds a service by its name.
     pub fn find_service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|s| &s.name == name)
@@ -199,3 +222,20 @@
         self.shares.first().map(|s| &s.service)
     }
 }
+
+fn hash_one<Value>(value: Value) -> u64
+where
+    Value: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Combines the hashes of the entries of a map, whatever their order.
+fn sum_hashes<Entry>(entries: impl Iterator<Item = Entry>) -> u64
+where
+    Entry: Hash,
+{
+    entries.map(hash_one).fold(0, u64::wrapping_add)
+}
--- a/crates/site/src/crash_log.rs
+++ b/crates/site/src/crash_log.rs
@@ -37,10 +37,11 @@
     ///
     /// # Errors
     ///
-    /// Any [`SourceError`] except [`SourceError::HistoryGone`].
+    /// Any [`SourceError`]; [`SourceError::HistoryGone`] if the store was restored meanwhile.
     async fn read(&self) -> Result<Versioned<Vec<CrashEntry>>, SourceError>;
 
-    /// Waits up to `wait` for entries after position `after`.
+    /// Waits up to `wait` for entries after position `after`. The answer may be of another history
+    /// than the position.
     ///
     /// # Errors
     ///
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -4,10 +4,12 @@
 //! [`Source`], [`HeaderCodec`] and [`Engine`].
 
 pub mod config;
+pub mod config_choice;
 pub mod crash_log;
 pub mod engine;
 pub mod headers;
 pub mod membership;
+pub mod registry;
 pub mod server;
 pub mod settings;
 pub mod source;
@@ -32,5 +34,6 @@
 pub use source::Position;
 pub use source::Source;
 pub use source::SourceError;
+pub use source::StoredConfig;
 pub use source::Versioned;
 pub use view::DeploymentView;
--- a/crates/site/src/membership.rs
+++ b/crates/site/src/membership.rs
@@ -30,7 +30,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`SourceError`] except [`SourceError::HistoryGone`].
+    /// Any [`SourceError`]; [`SourceError::HistoryGone`] if the store was restored meanwhile.
     async fn read(&self) -> Result<Vec<Member>, SourceError>;
 
     /// Removes the statements of gateways that are gone.
--- a/crates/site/src/source.rs
+++ b/crates/site/src/source.rs
@@ -16,7 +16,7 @@
     Unreachable,
     /// the store rejected the request
     Refused,
-    /// the store no longer keeps the changes since the given position
+    /// the store does not have the changes since the given position
     HistoryGone,
     /// the response of the store is malformed
     Malformed,
@@ -51,6 +51,29 @@
     pub position: Position,
 }
 
+/// Configuration in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredConfig {
+    /// The configuration.
+    pub config: Config,
+    /// Number of the change that wrote it.
+    pub change: u64,
+}
+
+impl<Content> Versioned<Content> {
+    /// Returns the changes since a position.
+    ///
+    /// # Errors
+    ///
+    /// [`SourceError::HistoryGone`] if the position is of another history than the changes.
+    pub fn since(self, start: Position) -> Result<Versioned<Content>, SourceError> {
+        match self.position.timeline == start.timeline {
+            true => Ok(self),
+            false => Err(SourceError::HistoryGone),
+        }
+    }
+}
+
 /// Client of the platform's store.
 #[async_trait]
 pub trait Source: Send + Sync {
@@ -58,17 +81,18 @@
     ///
     /// # Errors
     ///
-    /// Any [`SourceError`] except [`SourceError::HistoryGone`].
-    async fn read_config(&self) -> Result<Versioned<Option<Config>>, SourceError>;
+    /// Any [`SourceError`]; [`SourceError::HistoryGone`] if the store was restored meanwhile.
+    async fn read_config(&self) -> Result<Versioned<Option<StoredConfig>>, SourceError>;
 
     /// Reads the complete server registry.
     ///
     /// # Errors
     ///
-    /// Any [`SourceError`] except [`SourceError::HistoryGone`].
+    /// Any [`SourceError`]; [`SourceError::HistoryGone`] if the store was restored meanwhile.
     async fn read_servers(&self) -> Result<Versioned<Vec<BackendServer>>, SourceError>;
 
-    /// Waits up to `wait` for a configuration after position `after`; `None` if there was none.
+    /// Waits up to `wait` for a configuration after position `after`; `None` if there was none. The
+    /// answer may be of another history than the position.
     ///
     /// # Errors
     ///
@@ -78,9 +102,10 @@
         &self,
         after: Position,
         wait: Duration,
-    ) -> Result<Versioned<Option<Config>>, SourceError>;
+    ) -> Result<Versioned<Option<StoredConfig>>, SourceError>;
 
-    /// Waits up to `wait` for registry changes after position `after`.
+    /// Waits up to `wait` for registry changes after position `after`. The answer may be of another
+    /// history than the position.
     ///
     /// # Errors
     ///
--- a/src/gateway/crash_log.rs
+++ b/src/gateway/crash_log.rs
@@ -6,6 +6,7 @@
 use siskinbend_site::CrashEntry;
 use siskinbend_site::SourceError;
 use siskinbend_types::Time;
+use siskinbend_types::Timeline;
 use tokio::time::sleep;
 
 use super::Gateway;
@@ -51,11 +52,16 @@
 pub(super) async fn watch(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.crash_log);
     let mut position: Option<Cursor> = None;
+    let mut known_timeline: Option<Timeline> = None;
     let mut backoff = Backoff::new("crashes");
     loop {
         let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
-            Some(current) => source.watch(current.after, LOG_POLL).await,
+            Some(current) => {
+                let wait = backoff.limit_wait(LOG_POLL);
+                let read = source.watch(current.after, wait).await;
+                read.and_then(|read| read.since(current.after))
+            }
             None => source.read().await,
         };
         let now = gateway.now();
@@ -67,6 +73,10 @@
                     Some(current) => current.advance(read.position),
                     None => Cursor::of_read(read.position),
                 });
+                if known_timeline.is_some_and(|known| known < read.position.timeline) {
+                    share_again(&gateway, &read.content, now);
+                }
+                known_timeline = Some(read.position.timeline);
                 let changed = !read.content.is_empty();
                 let expired = apply(&gateway, read.content, now);
                 remove(&gateway, &expired).await;
@@ -80,6 +90,15 @@
     }
 }
 
+/// Adds the entries of this gateway again that a restored store has lost.
+fn share_again(gateway: &Arc<Gateway>, found: &[CrashEntry], now: Time) {
+    let shared = gateway.crashes.list_shared(now).into_iter();
+    for (entry, crashed_at) in shared.filter(|(entry, _)| !found.contains(entry)) {
+        let gateway = Arc::clone(gateway);
+        tokio::spawn(async move { share(&gateway, &entry, crashed_at).await });
+    }
+}
+
 /// Records crashes of the shared log by their age, and returns the entries that no longer count.
 fn apply(gateway: &Arc<Gateway>, entries: Vec<CrashEntry>, now: Time) -> Vec<CrashEntry> {
     let unix_now = unix_millis();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,6 +1,7 @@
 //! Finds out whether a backend server whose connections broke has crashed.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::fmt::Write as _;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,12 +33,17 @@
 const CHECK_DELAY: Duration = Duration::from_millis(60);
 /// Timeout of the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of own entries of the shared log that are remembered.
+const MAX_SHARED: usize = 64;
+
 /// Crashes of backend servers, as far as this gateway knows.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
     /// Requests whose connection broke, by the backend server that is being checked.
     pending: Mutex<BTreeMap<AgentId, Vec<Suspect>>>,
     tracker: Mutex<CrashTracker>,
+    /// Latest entries that this gateway added to the shared log, with the time of the crash.
+    shared: Mutex<VecDeque<(CrashEntry, Time)>>,
 }
 
 impl Crashes {
@@ -49,6 +55,23 @@
         lock(&self.tracker)
     }
 
+    /// Remembers an entry of this gateway, in case the shared log loses it.
+    fn remember_shared(&self, entry: &CrashEntry, crashed_at: Time) {
+        let mut shared = lock(&self.shared);
+        shared.push_back((entry.clone(), crashed_at));
+        if shared.len() > MAX_SHARED {
+            shared.pop_front();
+        }
+    }
+
+    /// Lists the entries of this gateway that still count.
+    pub fn list_shared(&self, now: Time) -> Vec<(CrashEntry, Time)> {
+        let retention = self.retention();
+        let mut shared = lock(&self.shared);
+        shared.retain(|(_, crashed_at)| now.since(*crashed_at) < retention);
+        shared.iter().cloned().collect()
+    }
+
     /// Returns a blocked part of a request's prompt and the time until the end of its block.
     pub fn find_blocked(&self, call: &Call, now: Time) -> Option<(PromptPart, Duration)> {
         self.tracker().find_blocked(call.head.shared_parts(), now)
@@ -143,6 +166,7 @@
         },
     };
     if !entry.report.suspects.is_empty() {
+        gateway.crashes.remember_shared(&entry, now);
         crash_log::share(gateway, &entry, now).await;
     }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -7,7 +7,7 @@
 use siskinbend_site::Member;
 use siskinbend_site::SourceError;
 use smol_str::SmolStr;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::Gateway;
 use super::store_watch::Backoff;
@@ -24,11 +24,14 @@
 /// Announces this gateway and reads which others run.
 pub(super) async fn run(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new("gateways");
+    let mut timeline = gateway.timeline.subscribe();
     loop {
         match update(&gateway).await {
             Ok(()) => {
                 backoff.reset(gateway.now());
-                sleep(INTERVAL).await;
+                // A restored store may have lost the statement. The gateway outlives this task, so
+                // the wait ends only with a change.
+                let _ = timeout(INTERVAL, timeline.changed()).await;
             }
             Err(error) => backoff.wait(error, gateway.now()).await,
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -108,18 +108,17 @@
         self.fleet.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Records the history that an answer of the store belongs to. Returns whether it is new.
-    fn record_timeline(&self, matter: &'static str, timeline: Timeline) -> bool {
-        let mut before = None;
-        let is_new = self.timeline.send_if_modified(|known| {
-            before = *known;
-            *known = before.max(Some(timeline));
-            *known != before
+    /// Records the history that an answer of the store belongs to, and tells the tasks that have
+    /// rows in the store if it was restored.
+    fn record_timeline(&self, matter: &'static str, timeline: Timeline) {
+        self.timeline.send_if_modified(|known| {
+            let before = known.replace(timeline.max(known.unwrap_or_default()));
+            let restored = before.filter(|before| *before < timeline);
+            if let Some(before) = restored {
+                log::warn!(matter, before:% = before, timeline:% = timeline; "store_restored");
+            }
+            restored.is_some()
         });
-        if let (true, Some(before)) = (is_new, before) {
-            log::warn!(matter, before:% = before, timeline:% = timeline; "store_restored");
-        }
-        is_new
     }
 
     fn config(&self) -> Option<Arc<Config>> {
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use siskinbend_site::Config;
 use siskinbend_site::Position;
 use siskinbend_site::SourceError;
+use siskinbend_site::StoredConfig;
+use siskinbend_site::Versioned;
 use siskinbend_types::Time;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -43,7 +44,7 @@
     loop {
         sleep(REFRESH_INTERVAL).await;
         let now = gateway.now();
-        let updates = gateway.view().remove_expired(now);
+        let updates = gateway.view().update_servers(now);
         let mut fleet = gateway.fleet();
         fleet.apply(updates, now);
         fleet.refresh(now);
@@ -94,6 +95,15 @@
         }
     }
 
+    /// Returns how long the next call waits for changes: not at all after a failure, because the store
+    /// may have been restored meanwhile, which only an answer tells.
+    pub fn limit_wait(&self, wait: Duration) -> Duration {
+        match self.failing_since {
+            Some(_) => Duration::ZERO,
+            None => wait,
+        }
+    }
+
     /// Records a successful call.
     pub fn reset(&mut self, now: Time) {
         if let Some(since) = self.failing_since.take() {
@@ -122,7 +132,11 @@
         let requested_at = gateway.now();
         let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
-            Some(current) => source.watch_config(current.after, CONFIG_POLL).await,
+            Some(current) => {
+                let wait = backoff.limit_wait(CONFIG_POLL);
+                let read = source.watch_config(current.after, wait).await;
+                read.and_then(|read| read.since(current.after))
+            }
             None => source.read_config().await,
         };
         let now = gateway.now();
@@ -140,7 +154,7 @@
                     true => requested_at + CONFIG_POLL,
                     false => requested_at,
                 };
-                apply_config(&gateway, read.content, confirmed_at, now);
+                apply_config(&gateway, read, confirmed_at, now);
             }
             Err(SourceError::HistoryGone) => position = None,
             Err(error) => backoff.wait(error, now).await,
@@ -148,11 +162,16 @@
     }
 }
 
-fn apply_config(gateway: &Arc<Gateway>, content: Option<Config>, confirmed_at: Time, now: Time) {
-    let found = content.as_ref().map(|c| c.version);
+fn apply_config(
+    gateway: &Arc<Gateway>,
+    read: Versioned<Option<StoredConfig>>,
+    confirmed_at: Time,
+    now: Time,
+) {
+    let found = read.content.as_ref().map(|c| c.config.version);
     let (newer, known) = {
         let mut view = gateway.view();
-        let newer = view.update_config(content, confirmed_at);
+        let newer = view.update_config(read, confirmed_at, now);
         (newer, view.config().map(|c| c.version))
     };
     if let (Some(found), Some(known)) = (found, known)
@@ -178,8 +197,9 @@
         let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => source
-                .watch_servers(current.after, REGISTRY_POLL)
+                .watch_servers(current.after, backoff.limit_wait(REGISTRY_POLL))
                 .await
+                .and_then(|read| read.since(current.after))
                 .map(|read| {
                     let now = gateway.now();
                     let updates = gateway.view().apply_changes(read.content, now);
@@ -187,8 +207,8 @@
                 }),
             None => source.read_servers().await.map(|read| {
                 let now = gateway.now();
-                let updates = gateway.view().replace_servers(read.content, now);
-                (Cursor::of_read(read.position), updates)
+                let cursor = Cursor::of_read(read.position);
+                (cursor, gateway.view().replace_servers(read, now))
             }),
         };
         let now = gateway.now();
--- a/src/rank_agent/mod.rs
+++ b/src/rank_agent/mod.rs
@@ -9,6 +9,7 @@
 mod report;
 mod server;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -20,7 +21,10 @@
 use siskinbend_site::Engine;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::Source;
+use siskinbend_site::registry::Registry;
 use siskinbend_types::Time;
+use siskinbend_types::Zone;
+use tokio::time::sleep;
 
 use crate::clock::BootClock;
 use crate::peer::PeerClient;
@@ -122,6 +126,7 @@
 }
 
 async fn poll_registry(agent: Arc<Agent>) {
+    let mut registry = Registry::default();
     let mut is_failing = false;
     loop {
         match agent.source.read_servers().await {
@@ -129,32 +134,44 @@
                 if std::mem::take(&mut is_failing) {
                     log::info!(matter = "servers"; "store_regained");
                 }
-                let service = agent.settings.service.clone();
-                let ranks = read
-                    .content
-                    .into_iter()
-                    .filter(|s| service.as_ref().is_none_or(|own| *own == s.service))
-                    .map(|s| (s.address, s.zone))
-                    .collect();
-                agent.group_view().set_registered(ranks);
-                wait_for_next_read(&agent).await;
+                let now = agent.now();
+                registry.replace(read.content, read.position.timeline, now);
+                registry.update(now);
+                agent
+                    .group_view()
+                    .set_registered(list_ranks(&agent, &registry));
+                match registry.is_recovering(now) {
+                    true => sleep(INCOMPLETE_REGISTRY_INTERVAL).await,
+                    false => wait_for_next_read(&agent).await,
+                }
             }
             Err(error) => {
+                registry.record_failure();
                 if !std::mem::replace(&mut is_failing, true) {
                     log::warn!(matter = "servers", error:% = error; "store_lost");
                 }
-                tokio::time::sleep(REGISTRY_RETRY_DELAY).await;
+                sleep(REGISTRY_RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// Lists the ranks of the service with their availability zones.
+fn list_ranks(agent: &Agent, registry: &Registry) -> BTreeMap<SocketAddr, Zone> {
+    let service = agent.settings.service.as_ref();
+    registry
+        .list()
+        .filter(|s| service.is_none_or(|own| *own == s.service))
+        .map(|s| (s.address, s.zone.clone()))
+        .collect()
+}
+
 /// Waits until the registry should be read again, which is sooner if a rank of the group is
 /// missing.
 async fn wait_for_next_read(agent: &Agent) {
     let mut waited = Duration::ZERO;
     while waited < REGISTRY_INTERVAL {
-        tokio::time::sleep(INCOMPLETE_REGISTRY_INTERVAL).await;
+        sleep(INCOMPLETE_REGISTRY_INTERVAL).await;
         waited += INCOMPLETE_REGISTRY_INTERVAL;
         if agent.group_view().lacks_registrations() {
             return;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -52,6 +52,7 @@
 mod request_history;
 mod request_random;
 mod restored_store;
+mod restored_view;
 mod resumption;
 mod rollout;
 mod sample;
--- a/tests/integration/restored_store.rs
+++ b/tests/integration/restored_store.rs
@@ -7,6 +7,8 @@
 use serde_json::Value;
 use serde_json::json;
 use siskinbend_standins::site::build_config;
+use siskinbend_standins::site::check::Caller;
+use siskinbend_standins::site::check::complete_stream;
 use siskinbend_standins::site::ranks::GroupShape;
 use siskinbend_standins::site::store::Store;
 
@@ -110,6 +112,31 @@
     wait_until_served(&deployment, "/kept/", CONFIG_BOUND).await;
 }
 
+/// Guards against crashes of servers that no gateway knows of after the store lost them.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_are_shared_again() {
+    let deployment = Deployment::start().await;
+    let site = &deployment.site;
+    let copy = site.store.copy();
+    for replica in &site.model_replicas {
+        *replica.crash_part.lock().expect("the lock") = Some("bad".to_owned());
+    }
+    let caller = Caller::default();
+    let call = caller.call_with_prompt(deployment.callers, "/draft/x/", "c", "bad:20,own:600");
+    assert_ne!(call.await.body, Some(complete_stream()));
+    wait_until("the report of a crash", || {
+        site.store.count_rows("crashes") > 0
+    })
+    .await;
+    let reported = site.store.count_rows("crashes");
+    site.store.restore(copy);
+    assert_eq!(site.store.count_rows("crashes"), 0);
+    wait_until("the report again", || {
+        site.store.count_rows("crashes") >= reported
+    })
+    .await;
+}
+
 /// Guards against gateways that stay unknown to the others because the store lost their rows.
 #[tokio::test(flavor = "multi_thread")]
 async fn gateways_announce_themselves_again() {
--- a/tests/integration/site_view.rs
+++ b/tests/integration/site_view.rs
@@ -6,9 +6,12 @@
 use siskinbend_site::BackendServer;
 use siskinbend_site::Config;
 use siskinbend_site::DeploymentView;
+use siskinbend_site::Position;
 use siskinbend_site::ServerState;
+use siskinbend_site::StoredConfig;
+use siskinbend_site::Versioned;
+use siskinbend_site::registry::ServerUpdate;
 use siskinbend_site::source::ServerChange;
-use siskinbend_site::view::ServerUpdate;
 use siskinbend_site::view::Settings;
 use siskinbend_types::AgentId;
 use siskinbend_types::Time;
@@ -40,16 +43,25 @@
     })
 }
 
-fn config(version: u64) -> Option<Config> {
-    Some(Config::new(Version(version), Vec::new()))
+/// An answer of the store in its only history.
+fn read<Content>(content: Content) -> Versioned<Content> {
+    Versioned {
+        content,
+        position: Position::default(),
+    }
+}
+
+fn config(version: u64) -> Versioned<Option<StoredConfig>> {
+    let config = Config::new(Version(version), Vec::new());
+    read(Some(StoredConfig { config, change: 1 }))
 }
 
 /// Guards against an older configuration that arrives late and replaces a newer one.
 #[test]
 fn config_never_reverts() {
     let mut view = view();
-    assert!(view.update_config(config(7), at(0)).is_some());
-    assert!(view.update_config(config(4), at(10)).is_none());
+    assert!(view.update_config(config(7), at(0), at(0)).is_some());
+    assert!(view.update_config(config(4), at(10), at(10)).is_none());
     assert_eq!(view.config().map(|c| c.version), Some(Version(7)));
 }
 
@@ -59,7 +71,7 @@
 fn keys_and_routes_expire_without_confirmation() {
     let mut view = view();
     assert!(!view.are_keys_usable(at(0)));
-    view.update_config(config(1), at(1_000));
+    view.update_config(config(1), at(1_000), at(1_000));
     assert!(view.is_config_fresh(at(3_000)) && view.are_keys_usable(at(4_500)));
     assert!(
         !view.is_config_fresh(at(4_000)),
@@ -69,7 +81,7 @@
         !view.are_keys_usable(at(6_000)),
         "keys are accepted 5 s after the last confirmation"
     );
-    view.update_config(None, at(6_000));
+    view.update_config(read(None), at(6_000), at(6_000));
     assert!(
         view.are_keys_usable(at(6_100)),
         "a response without changes confirms the configuration"
@@ -82,13 +94,16 @@
 fn expired_entries_may_return_after_a_store_outage() {
     let mut view = view();
     view.replace_servers(
-        vec![server(1, ServerState::Ready), server(2, ServerState::Ready)],
+        read(vec![
+            server(1, ServerState::Ready),
+            server(2, ServerState::Ready),
+        ]),
         at(0),
     );
     view.record_store_failure();
-    assert!(view.replace_servers(Vec::new(), at(9_000)).is_empty());
+    assert!(view.replace_servers(read(Vec::new()), at(9_000)).is_empty());
     assert!(
-        view.remove_expired(at(10_000)).is_empty(),
+        view.update_servers(at(10_000)).is_empty(),
         "removed before it could register again"
     );
     view.apply_changes(
@@ -96,7 +111,7 @@
         at(10_500),
     );
     assert_eq!(
-        view.remove_expired(at(11_000)),
+        view.update_servers(at(11_000)),
         [ServerUpdate::Removed(id(2))]
     );
 }
@@ -107,14 +122,14 @@
 fn missing_draining_entry_is_removed_at_once() {
     let mut view = view();
     view.replace_servers(
-        vec![
+        read(vec![
             server(1, ServerState::Draining),
             server(2, ServerState::Ready),
-        ],
+        ]),
         at(0),
     );
     view.record_store_failure();
-    let updates = view.replace_servers(vec![server(2, ServerState::Ready)], at(5_000));
+    let updates = view.replace_servers(read(vec![server(2, ServerState::Ready)]), at(5_000));
     assert_eq!(updates, [ServerUpdate::Removed(id(1))]);
     let changes = vec![ServerChange::Removed(id(2))];
     assert_eq!(
