Log a fingerprint of requests whose connection broke

Cause: the lines about broken attempts name the id of a request, which is new each time a caller sends it, and parts of its prompt. They can't tell one request that comes again from several with something in common.

Change: attempt_broken has a hash of method, path, caller and body.

--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -76,6 +76,10 @@
     /// Identifies one run of a process, from start to exit; drawn at random when it starts.
     Incarnation, u64, 16
 );
+hex_id!(
+    /// Hash of what makes two requests the same: method, path, caller and body, but not their ids.
+    RequestFingerprint, u64, 16
+);
 counter!(
     /// Number of an attempt within a request, counted from 1.
     Attempt, u32
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub use ids::Digest;
 pub use ids::FencingNumber;
 pub use ids::Incarnation;
+pub use ids::RequestFingerprint;
 pub use ids::RequestId;
 pub use ids::Timeline;
 pub use ids::Version;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 //! response.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,7 @@
 use siskinbend_site::Route;
 use siskinbend_types::Organisation;
 use siskinbend_types::Reason;
+use siskinbend_types::RequestFingerprint;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use siskinbend_types::Version;
@@ -36,6 +38,7 @@
 
 use super::Gateway;
 use super::crashes;
+use super::fingerprint::compute_fingerprint;
 use super::fleet::Target;
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
@@ -59,6 +62,8 @@
     pub service: ServiceName,
     pub organisation: Option<Organisation>,
     pub priority: Option<u8>,
+    /// Computed when it is first needed.
+    pub fingerprint: OnceLock<RequestFingerprint>,
     /// Version of the configuration with which the request was admitted.
     pub version: Version,
     pub received_at: Time,
@@ -111,6 +116,15 @@
         self.deadline.since(now)
     }
 
+    /// Returns the hash by which the same request is recognised under another id.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let compute = || {
+            let caller = self.organisation.as_ref();
+            compute_fingerprint(&self.method, &self.uri, caller, &self.body)
+        };
+        *self.fingerprint.get_or_init(compute)
+    }
+
     fn build_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -106,6 +106,7 @@
     let parts = call.head.shared_parts();
     log::info!(
         request:% = call.head.id,
+        fingerprint:% = call.fingerprint(),
         server:% = target.id,
         stage:% = stage,
         prompt = join_parts(parts);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -1,6 +1,7 @@
 //! Admits callers' requests and refuses those that cannot be served.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -174,6 +175,7 @@
         service,
         priority: Some(find_priority(route.priority, owner.as_ref())),
         organisation: owner.map(|o| o.organisation),
+        fingerprint: OnceLock::new(),
         route,
     })
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod buffered;
 mod crash_log;
 mod crashes;
+mod fingerprint;
 mod fleet;
 mod guards;
 mod handler;
