--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -62,10 +62,12 @@
     limited_arrivals: Mutex<Vec<Instant>>,
     /// Part of a prompt on which the replica crashes as soon as it begins to answer.
     pub crash_part: Mutex<Option<String>>,
+    /// End of a path on which the replica crashes as soon as it begins to answer.
+    pub crash_path: Mutex<Option<String>>,
     /// Number of crashes.
     pub crashes: AtomicU32,
     crashed: Notify,
-    /// Ids of the requests that arrived with [`crash_part`](Self::crash_part) in their prompt.
+    /// Ids of the requests that arrived and on which the replica crashes.
     crash_requests: Mutex<Vec<String>>,
     /// Streams dropped before their end because the connection was closed.
     pub disconnects: AtomicU32,
@@ -100,6 +102,7 @@
             limit: Mutex::default(),
             limited_arrivals: Mutex::default(),
             crash_part: Mutex::default(),
+            crash_path: Mutex::default(),
             crashes: AtomicU32::new(0),
             crashed: Notify::new(),
             crash_requests: Mutex::default(),
@@ -152,13 +155,18 @@
         lock(&self.limited_arrivals).clone()
     }
 
-    /// Returns the ids of the requests that arrived with the part on which the replica crashes.
+    /// Returns the ids of the requests that arrived and on which the replica crashes.
     pub fn crash_requests(&self) -> Vec<String> {
         lock(&self.crash_requests).clone()
     }
 
-    /// Returns whether the replica crashes on a request with these headers.
-    fn crashes_on(&self, headers: &HeaderMap) -> bool {
+    /// Returns whether the replica crashes on a request.
+    fn crashes_on(&self, path: &str, headers: &HeaderMap) -> bool {
+        let end = lock(&self.crash_path).clone();
+        end.is_some_and(|end| path.ends_with(&end)) || self.crashes_on_prompt(headers)
+    }
+
+    fn crashes_on_prompt(&self, headers: &HeaderMap) -> bool {
         let part = lock(&self.crash_part).clone();
         let prompt = headers.get("x-prompt-prefix").and_then(|v| v.to_str().ok());
         let (Some(part), Some(prompt)) = (part, prompt) else {
@@ -226,7 +234,7 @@
         .and_then(|n| n.parse().ok())
         .unwrap_or(0);
     let stream = request.uri().path().starts_with("/draft/");
-    let body = if replica.crashes_on(&headers) {
+    let body = if replica.crashes_on(request.uri().path(), &headers) {
         lock(&replica.crash_requests).push(id.clone());
         crash_in_stream(replica)
     } else if stream {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod closed_output;
 mod crash_tracker;
 mod crashing_prompts;
+mod deadly_requests;
 mod deployment;
 mod direct_attempts;
 mod document;
