Recognise a request that crashes servers when it comes again

Cause: gateways linked crashes to parts of prompts only. A plain request left no evidence, a model request left evidence against a shared part.

Change: a request has a fingerprint of method, path, caller and body, which the gateways share with the crash. Two crashes block it for an hour, one at which its answer had just begun holds it back for a minute; answers since speak for it. Crashes that a repeated request accounts for don't count against parts. A request waits for the check of the server that it was at, at most 150 ms.

Ruled out: holding back all requests of a crash after it (most are sound); no second attempt after a broken connection (sound requests lose it).

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -1,14 +1,17 @@
-//! Finds parts of prompts that crash backend servers, and blocks them.
+//! Finds requests and parts of prompts that crash backend servers, and blocks them.
 //!
 //! A backend server that crashes takes all of its requests with it, and one gateway sees only those
 //! that it sent. The tracker compares the requests of several crashes, also of those that other
-//! gateways reported: a part that was at several crashes, and in no request that was answered since,
-//! is blocked.
+//! gateways reported. A request that callers sent again, and that was at several crashes, is blocked;
+//! a part of prompts is blocked if it was at several crashes that no such request accounts for.
+//! Answers since the crashes speak for requests and parts.
 //! The last part of a prompt belongs to one request and is not compared.
 
+mod answers;
+mod requests;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
 use std::time::Duration;
@@ -18,10 +21,15 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::Incarnation;
 use siskinbend_types::PromptPart;
+use siskinbend_types::RequestFingerprint;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use smol_str::SmolStr;
 
+use answers::Answers;
+use requests::BlockedRequests;
+use requests::weigh_request;
+
 /// Number of parts of a stream that can arrive before the backend server has written the first
 /// answer tokens of all requests that it started together.
 const MAX_STARTING_PARTS: u32 = 2;
@@ -29,13 +37,10 @@
 const MAX_CRASHES: usize = 64;
 /// Maximum number of requests that are remembered of one crash.
 const MAX_SUSPECTS: usize = 256;
-/// Number of answered parts after which the older half is forgotten.
-const MAX_ANSWERED_PARTS: usize = 4_096;
-
-/// Weight of a crash at which an answer with the part had just begun.
+/// Weight of a crash at which the answer had just begun.
 const STARTING_WEIGHT: u32 = 4;
-/// Weight of a crash at which a request with the part was only waiting. Its answer may have begun
-/// without the gateway having seen it.
+/// Weight of a crash at which the request was only waiting. Its answer may have begun without the
+/// gateway having seen it.
 const WAITING_WEIGHT: u32 = 3;
 
 /// Progress of an attempt when its connection broke.
@@ -84,6 +89,10 @@
 pub struct Suspect {
     /// Id of the request.
     pub request: SmolStr,
+    /// What the request is recognised by when it comes again. Gateways of earlier versions don't
+    /// report it.
+    #[serde(default)]
+    pub fingerprint: Option<RequestFingerprint>,
     /// Parts of its prompt that other requests may share, in order.
     pub parts: Vec<PromptPart>,
     /// Progress of the attempt.
@@ -115,6 +124,10 @@
     pub episode: Duration,
     /// Time for which crashes and answers are remembered, and for which a part stays blocked.
     pub retention: Duration,
+    /// Time for which a request stays blocked that was at several crashes.
+    pub request_block: Duration,
+    /// Time for which a request stays blocked whose answer had just begun at one crash.
+    pub probation: Duration,
 }
 
 impl Default for Settings {
@@ -124,15 +137,26 @@
             answered_threshold: 4 * STARTING_WEIGHT,
             episode: Duration::from_millis(500),
             retention: Duration::from_secs(600),
+            request_block: Duration::from_secs(3_600),
+            probation: Duration::from_secs(60),
         }
     }
 }
 
-/// Part that has become blocked, and what it was blocked for.
+/// What crashes backend servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BlockedPart {
-    /// The part.
-    pub part: PromptPart,
+pub enum Cause {
+    /// A request that callers send again.
+    Request(RequestFingerprint),
+    /// A part of prompts.
+    Part(PromptPart),
+}
+
+/// Cause that has become blocked, and what it was blocked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Blocked {
+    /// The request or part.
+    pub cause: Cause,
     /// Weight of the crashes.
     pub weight: u32,
     /// Servers that crashed.
@@ -154,32 +178,17 @@
         with_part.map(|s| s.stage.weight()).max().unwrap_or(0)
     }
 
-    fn is_explained(&self, blocked: &BTreeMap<PromptPart, Time>) -> bool {
+    /// Whether a blocked part accounts for this crash.
+    fn has_blocked_part(&self, blocked: &BTreeMap<PromptPart, Time>) -> bool {
         blocked.keys().any(|part| self.weigh(part) > 0)
     }
-}
-
-/// Latest request with each part that was answered completely. It forgets the parts that were not
-/// answered for the longest time.
-#[derive(Debug, Default)]
-struct AnsweredParts {
-    recent: HashMap<PromptPart, Time>,
-    older: HashMap<PromptPart, Time>,
-}
-
-impl AnsweredParts {
-    fn record(&mut self, part: &PromptPart, sent_at: Time) {
-        let latest = self.find(part).map_or(sent_at, |known| known.max(sent_at));
-        self.recent.insert(part.clone(), latest);
-        if self.recent.len() >= MAX_ANSWERED_PARTS / 2 {
-            self.older = std::mem::take(&mut self.recent);
-        }
-    }
 
-    /// Returns when the latest answered request with a part was sent.
-    fn find(&self, part: &PromptPart) -> Option<Time> {
-        let (recent, older) = (self.recent.get(part), self.older.get(part));
-        recent.max(older).copied()
+    /// Whether a blocked request that was at several crashes accounts for this one.
+    fn has_repeated_request(&self, blocked: &BlockedRequests) -> bool {
+        let is_repeated = |s: &Suspect| s.fingerprint.is_some_and(|f| blocked.is_repeated(f));
+        self.suspects
+            .iter()
+            .any(|s| s.stage.weight() > 0 && is_repeated(s))
     }
 }
 
@@ -197,9 +206,11 @@
 pub struct CrashTracker {
     settings: Settings,
     crashes: VecDeque<Crash>,
-    answered: AnsweredParts,
+    answered: Answers<PromptPart>,
     /// Blocked parts with the end of the block.
     blocked: BTreeMap<PromptPart, Time>,
+    answered_requests: Answers<RequestFingerprint>,
+    blocked_requests: BlockedRequests,
 }
 
 impl CrashTracker {
@@ -208,42 +219,108 @@
         self.settings.retention
     }
 
-    /// Records a crash at the time `at`; several reports of the same crash are merged. Returns the
-    /// parts that it has blocked.
-    pub fn record_crash(&mut self, report: CrashReport, at: Time, now: Time) -> Vec<BlockedPart> {
+    /// Records a crash at the time `at`; several reports of the same crash are merged. Returns what
+    /// it has blocked.
+    pub fn record_crash(&mut self, report: CrashReport, at: Time, now: Time) -> Vec<Blocked> {
         self.forget_old(now);
         if now.since(at) >= self.settings.retention {
             return Vec::new();
         }
+        let weighty = report.suspects.iter().filter(|s| s.stage.weight() > 0);
+        let requests: BTreeSet<RequestFingerprint> =
+            weighty.filter_map(|s| s.fingerprint).collect();
         self.merge(report, at);
-        self.block_causes(now)
+        let mut blocked = self.block_requests(&requests, at);
+        blocked.extend(self.block_parts(now));
+        blocked
     }
 
-    /// Records that a request with these shared parts, sent at `sent_at`, was answered completely.
-    pub fn record_answer(&mut self, parts: &[PromptPart], sent_at: Time) {
+    /// Records that a request with these shared parts, sent at `sent_at`, was answered, at least so
+    /// far that it can't have crashed its backend server.
+    pub fn record_answer(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        parts: &[PromptPart],
+        sent_at: Time,
+    ) {
         for part in parts {
             self.answered.record(part, sent_at);
         }
+        self.answered_requests.record(&fingerprint, sent_at);
+        if self.weigh_request(fingerprint) == 0 {
+            self.blocked_requests.remove(fingerprint);
+        }
     }
 
-    /// Returns a blocked part of a prompt and the time until the end of its block.
-    pub fn find_blocked(&self, parts: &[PromptPart], now: Time) -> Option<(PromptPart, Duration)> {
-        let blocked = parts.iter().filter_map(|part| {
+    /// Returns what a request is blocked for, and the time until the end of its block.
+    pub fn find_blocked(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[PromptPart],
+        now: Time,
+    ) -> Option<(Cause, Duration)> {
+        let by_request = self.blocked_requests.find_end(fingerprint, now);
+        let by_request = by_request.map(|until| (Cause::Request(fingerprint), until.since(now)));
+        let by_part = parts.iter().filter_map(|part| {
             let until = *self.blocked.get(part)?;
-            (now < until).then(|| (part.clone(), until.since(now)))
+            (now < until).then(|| (Cause::Part(part.clone()), until.since(now)))
         });
-        blocked.max_by_key(|(_, left)| *left)
+        by_part.chain(by_request).max_by_key(|(_, left)| *left)
     }
 
     /// Returns the number of blocked parts.
-    pub fn count_blocked(&self, now: Time) -> usize {
+    pub fn count_blocked_parts(&self, now: Time) -> usize {
         self.blocked.values().filter(|until| now < **until).count()
     }
 
+    /// Returns the number of blocked requests.
+    pub fn count_blocked_requests(&self, now: Time) -> usize {
+        self.blocked_requests.count(now)
+    }
+
     fn forget_old(&mut self, now: Time) {
         let retention = self.settings.retention;
         self.crashes.retain(|c| now.since(c.at) < retention);
         self.blocked.retain(|_, until| now < *until);
+        self.blocked_requests.remove_ended(now);
+    }
+
+    /// Returns the weight of the crashes against a request since its latest answer.
+    fn weigh_request(&self, fingerprint: RequestFingerprint) -> u32 {
+        let answered = self.answered_requests.find(&fingerprint);
+        weigh_request(&self.crashes, fingerprint, answered, self.settings.episode)
+    }
+
+    /// Blocks the requests of a crash at the time `at` with enough evidence against them. Each block
+    /// concerns one request only, so requests that the evidence does not tell apart are all blocked.
+    fn block_requests(
+        &mut self,
+        requests: &BTreeSet<RequestFingerprint>,
+        at: Time,
+    ) -> Vec<Blocked> {
+        let mut causes = Vec::new();
+        for &fingerprint in requests {
+            let weight = self.weigh_request(fingerprint);
+            let is_answered = self.answered_requests.find(&fingerprint).is_some();
+            let settings = &self.settings;
+            let is_new =
+                self.blocked_requests
+                    .block(fingerprint, weight, is_answered, settings, at);
+            if is_new {
+                causes.push(Blocked {
+                    cause: Cause::Request(fingerprint),
+                    weight,
+                    servers: self.list_servers(fingerprint),
+                });
+            }
+        }
+        causes
+    }
+
+    fn list_servers(&self, fingerprint: RequestFingerprint) -> Vec<AgentId> {
+        let has = |c: &&Crash| requests::weigh_crash(c, fingerprint) > 0;
+        let crashes = self.crashes.iter().filter(has);
+        crashes.map(|c| c.server.clone()).collect()
     }
 
     fn merge(&mut self, report: CrashReport, at: Time) {
@@ -270,14 +347,14 @@
         }
     }
 
-    /// Blocks the parts that account for the most crashes, one after the other. Crashes that a
-    /// blocked part accounts for are no evidence against the other parts of its requests.
-    fn block_causes(&mut self, now: Time) -> Vec<BlockedPart> {
+    /// Blocks the parts that account for the most crashes, one after the other. Crashes that a blocked
+    /// part or a repeated request accounts for are no evidence against other parts.
+    fn block_parts(&mut self, now: Time) -> Vec<Blocked> {
         let mut causes = Vec::new();
         while let Some((part, evidence)) = self.find_cause(now) {
             let servers = self.unexplained().filter(|c| c.weigh(&part) > 0);
-            causes.push(BlockedPart {
-                part: part.clone(),
+            causes.push(Blocked {
+                cause: Cause::Part(part.clone()),
                 weight: evidence.weight,
                 servers: servers.map(|c| c.server.clone()).collect(),
             });
@@ -287,8 +364,9 @@
     }
 
     fn unexplained(&self) -> impl Iterator<Item = &Crash> {
-        let blocked = &self.blocked;
-        self.crashes.iter().filter(|c| !c.is_explained(blocked))
+        self.crashes.iter().filter(|c| {
+            !c.has_blocked_part(&self.blocked) && !c.has_repeated_request(&self.blocked_requests)
+        })
     }
 
     /// Returns the part with the most evidence against it, if that is enough to block it. Parts that
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -121,6 +121,8 @@
     Protocol => "protocol", 502, "A peer sent a frame that doesn't belong to the request.";
     /// Requests with the same prompt part have crashed replicas.
     PromptBlocked => "prompt_blocked", 503, "Requests with a part of this prompt have crashed replicas.";
+    /// The same request may have crashed replicas before.
+    RequestBlocked => "request_blocked", 503, "This request may have crashed replicas before.";
     /// The caller closed the connection.
     CallerGone => "caller_gone", 499, "The caller closed the connection.";
     /// The platform's table service is unavailable.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::AttemptStage;
+use siskinbend_routing::crashes::Cause;
 use siskinbend_site::ForwardHead;
 use siskinbend_site::RequestHead;
 use siskinbend_site::ResponseHead;
@@ -146,11 +147,9 @@
     permit: Option<&mut AdmissionPermit>,
     last_event: Option<SmolStr>,
 ) -> Result<Result<PendingResponse, FailedAttempt>, Reason> {
+    gateway.crashes.wait_until_checked(call).await;
     let now = gateway.now();
-    if let Some((part, _)) = gateway.crashes.find_blocked(call, now) {
-        log::info!(request:% = call.head.id, part:% = part; "prompt_refused");
-        return Err(Reason::PromptBlocked);
-    }
+    check_blocked(gateway, call, now)?;
     let target = gateway
         .fleet()
         .choose(&call.service, attempts.tried(), permit, now)?;
@@ -179,6 +178,21 @@
     Ok(exchange(gateway, call, attempt, connection, last_event).await)
 }
 
+/// Returns an error if the request, or a part of its prompt, is known to crash backend servers.
+fn check_blocked(gateway: &Arc<Gateway>, call: &Call, now: Time) -> Result<(), Reason> {
+    match gateway.crashes.find_blocked(call, now) {
+        None => Ok(()),
+        Some((Cause::Part(part), _)) => {
+            log::info!(request:% = call.head.id, part:% = part; "prompt_refused");
+            Err(Reason::PromptBlocked)
+        }
+        Some((Cause::Request(fingerprint), _)) => {
+            log::info!(request:% = call.head.id, fingerprint:% = fingerprint; "request_held_back");
+            Err(Reason::RequestBlocked)
+        }
+    }
+}
+
 /// Decides what follows a failed attempt.
 pub(super) fn decide_next(
     gateway: &Gateway,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -12,14 +12,17 @@
 use siskinbend_link::probe;
 use siskinbend_routing::AttemptStage;
 use siskinbend_routing::CrashTracker;
-use siskinbend_routing::crashes::BlockedPart;
+use siskinbend_routing::crashes::Blocked;
+use siskinbend_routing::crashes::Cause;
 use siskinbend_routing::crashes::CrashReport;
 use siskinbend_routing::crashes::Suspect;
 use siskinbend_site::CrashEntry;
 use siskinbend_types::AgentId;
 use siskinbend_types::PromptPart;
 use siskinbend_types::Time;
+use tokio::sync::Notify;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::Gateway;
 use super::attempt::Call;
@@ -33,6 +36,8 @@
 const CHECK_DELAY: Duration = Duration::from_millis(60);
 /// Timeout of the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time for which a request waits for the check of a server to which it was sent before.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(150);
 /// Maximum number of own entries of the shared log that are remembered.
 const MAX_SHARED: usize = 64;
 
@@ -41,6 +46,8 @@
 pub(super) struct Crashes {
     /// Requests whose connection broke, by the backend server that is being checked.
     pending: Mutex<BTreeMap<AgentId, Vec<Suspect>>>,
+    /// Notified after each check.
+    checked: Notify,
     tracker: Mutex<CrashTracker>,
     /// Latest entries that this gateway added to the shared log, with the time of the crash.
     shared: Mutex<VecDeque<(CrashEntry, Time)>>,
@@ -72,9 +79,35 @@
         shared.iter().cloned().collect()
     }
 
-    /// Returns a blocked part of a request's prompt and the time until the end of its block.
-    pub fn find_blocked(&self, call: &Call, now: Time) -> Option<(PromptPart, Duration)> {
-        self.tracker().find_blocked(call.head.shared_parts(), now)
+    /// Returns what a request is blocked for, and the time until the end of the block.
+    pub fn find_blocked(&self, call: &Call, now: Time) -> Option<(Cause, Duration)> {
+        let fingerprint = call.fingerprint();
+        let parts = call.head.shared_parts();
+        self.tracker().find_blocked(fingerprint, parts, now)
+    }
+
+    /// Waits until the servers have been checked that may have crashed because of the same request.
+    pub async fn wait_until_checked(&self, call: &Call) {
+        let waiting = async {
+            loop {
+                let checked = self.checked.notified();
+                if !self.is_checked_for(call) {
+                    return;
+                }
+                checked.await;
+            }
+        };
+        if timeout(MAX_CHECK_WAIT, waiting).await.is_err() {
+            log::info!(request:% = call.head.id; "server_check_slow");
+        }
+    }
+
+    /// Whether the check of a server is under way that may have crashed because of the same request.
+    fn is_checked_for(&self, call: &Call) -> bool {
+        let pending = self.pending();
+        let suspects = pending.values().flatten();
+        let mut weighty = suspects.filter(|s| s.stage != AttemptStage::Streaming);
+        weighty.any(|s| s.fingerprint == Some(call.fingerprint()))
     }
 
     /// Returns the time for which a crash counts.
@@ -82,17 +115,19 @@
         self.tracker().retention()
     }
 
-    /// Returns the number of blocked parts.
-    pub fn count_blocked(&self, now: Time) -> usize {
-        self.tracker().count_blocked(now)
+    /// Returns the numbers of blocked parts and of blocked requests.
+    pub fn count_blocked(&self, now: Time) -> (usize, usize) {
+        let tracker = self.tracker();
+        let requests = tracker.count_blocked_requests(now);
+        (tracker.count_blocked_parts(now), requests)
     }
 
-    /// Records that a request was answered completely by an attempt sent at `sent_at`.
+    /// Records that a request was answered by an attempt sent at `sent_at`, at least so far that it
+    /// can't have crashed its server.
     pub fn record_answer(&self, call: &Call, sent_at: Time) {
         let parts = call.head.shared_parts();
-        if !parts.is_empty() {
-            self.tracker().record_answer(parts, sent_at);
-        }
+        self.tracker()
+            .record_answer(call.fingerprint(), parts, sent_at);
     }
 }
 
@@ -114,6 +149,7 @@
     );
     let suspect = Suspect {
         request: call.head.id.clone(),
+        fingerprint: Some(call.fingerprint()),
         parts: parts.to_vec(),
         stage,
     };
@@ -141,23 +177,27 @@
         requests = suspects.len();
         "server_checked"
     );
-    if reachability == Reachability::NotListening && is_staying {
+    let has_crashed = reachability == Reachability::NotListening && is_staying;
+    let report = CrashReport {
+        server: target.id,
+        incarnation: target.incarnation,
+        service: target.service,
+        suspects,
+    };
+    let now = gateway.now();
+    if has_crashed {
         gateway.metrics.crashes.inc();
-        let report = CrashReport {
-            server: target.id,
-            incarnation: target.incarnation,
-            service: target.service,
-            suspects,
-        };
-        report_crash(&gateway, report).await;
+        record_crash(&gateway, report.clone(), now, now);
+    }
+    gateway.crashes.checked.notify_waiters();
+    if has_crashed {
+        share_crash(&gateway, report, now).await;
     }
 }
 
-/// Records a crash and adds it to the log that the gateways share.
-async fn report_crash(gateway: &Arc<Gateway>, report: CrashReport) {
-    let now = gateway.now();
-    record_crash(gateway, report.clone(), now, now);
-    let is_evidence = |s: &Suspect| s.stage != AttemptStage::Streaming && !s.parts.is_empty();
+/// Adds a crash to the log that the gateways share.
+async fn share_crash(gateway: &Arc<Gateway>, report: CrashReport, now: Time) {
+    let is_evidence = |s: &Suspect| s.stage != AttemptStage::Streaming;
     let entry = CrashEntry {
         reporter: gateway.settings.node.clone(),
         reported_ms: unix_millis(),
@@ -172,17 +212,25 @@
     }
 }
 
-/// Records a crash at the time `at` and logs the parts that it blocks.
+/// Records a crash at the time `at` and logs what it blocks.
 pub(super) fn record_crash(gateway: &Arc<Gateway>, report: CrashReport, at: Time, now: Time) {
     let blocked = gateway.crashes.tracker().record_crash(report, at, now);
-    for BlockedPart {
-        part,
+    for Blocked {
+        cause,
         weight,
         servers,
     } in blocked
     {
         let servers: Vec<&str> = servers.iter().map(AgentId::as_str).collect();
-        log::warn!(part:% = part, weight, servers = servers.join(","); "prompt_part_blocked");
+        let servers = servers.join(",");
+        match cause {
+            Cause::Request(fingerprint) => {
+                log::warn!(fingerprint:% = fingerprint, weight, servers; "request_blocked");
+            }
+            Cause::Part(part) => {
+                log::warn!(part:% = part, weight, servers; "prompt_part_blocked");
+            }
+        }
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -59,6 +59,8 @@
     pub limited_servers: Gauge,
     /// Blocked parts of prompts.
     pub blocked_parts: Gauge,
+    /// Blocked requests.
+    pub blocked_requests: Gauge,
     /// History of the store.
     pub timeline: Gauge,
     config_version: Gauge,
@@ -83,6 +85,7 @@
             gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
+            blocked_requests: register(all, "blocked_requests", "Blocked requests"),
             timeline: register(all, "store_timeline", "History of the store"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -147,8 +147,9 @@
         self.metrics.update_gauges(version, age, &states);
         let timeline = self.timeline.borrow().unwrap_or_default();
         self.metrics.timeline.set(timeline.0 as i64);
-        let blocked = self.crashes.count_blocked(now);
-        self.metrics.blocked_parts.set(blocked as i64);
+        let (parts, requests) = self.crashes.count_blocked(now);
+        self.metrics.blocked_parts.set(parts as i64);
+        self.metrics.blocked_requests.set(requests as i64);
         self.metrics.encode()
     }
 
--- a/tests/integration/crashing_prompts.rs
+++ b/tests/integration/crashing_prompts.rs
@@ -43,9 +43,9 @@
         format!("first:40,bad:20,own{number}:600"),
     );
     let caller = Caller::default();
-    let answer = caller
-        .call_with_prompt(gateway, "/draft/x/", &id, &prompt)
-        .await;
+    // Each request is another one, so that they have nothing in common but the part.
+    let path = format!("/draft/{id}/");
+    let answer = caller.call_with_prompt(gateway, &path, &id, &prompt).await;
     assert_eq!(answer.seal.is_some(), answer.status == Some(StatusCode::OK));
     tokio::time::sleep(PAUSE).await;
     answer.status
@@ -63,7 +63,7 @@
     let caller = Caller::default();
     let prompt = "first:40,bad:20,own:600";
     let answer = caller
-        .call_with_prompt(gateway, "/draft/x/", "refused", prompt)
+        .call_with_prompt(gateway, "/draft/refused/", "refused", prompt)
         .await;
     let body = answer.body.unwrap_or_default();
     body.contains("prompt_blocked") && answer.after.is_some_and(|after| after > 60.0)
@@ -73,9 +73,8 @@
 async fn is_sound_served(gateway: SocketAddr, id: &str) -> bool {
     let prompt = format!("first:40,{id}:600");
     let caller = Caller::default();
-    let answer = caller
-        .call_with_prompt(gateway, "/draft/x/", id, &prompt)
-        .await;
+    let path = format!("/draft/{id}/");
+    let answer = caller.call_with_prompt(gateway, &path, id, &prompt).await;
     answer.body == Some(complete_stream())
 }
 
@@ -146,7 +145,8 @@
     let caller = Caller::default();
     for number in 0..2 {
         let (id, prompt) = (format!("w{number}"), "bad:20,own:600");
-        let answer = caller.call_with_prompt(deployment.callers, "/stock/x/", &id, prompt);
+        let path = format!("/stock/{id}/");
+        let answer = caller.call_with_prompt(deployment.callers, &path, &id, prompt);
         assert_ne!(answer.await.status, Some(StatusCode::OK));
         tokio::time::sleep(PAUSE).await;
     }
