--- a/src/gateway/crash_log.rs
+++ b/src/gateway/crash_log.rs
@@ -51,11 +51,11 @@
 /// Watches the crashes that other gateways report.
 pub(super) async fn watch(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.crash_log);
-    let mut position: Option<Cursor> = None;
+    let mut cursor: Option<Cursor> = None;
     let mut known_timeline: Option<Timeline> = None;
     let mut backoff = Backoff::new("crashes");
     loop {
-        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
+        let current = cursor.filter(|c| c.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => {
                 let wait = backoff.limit_wait(LOG_POLL);
@@ -69,7 +69,7 @@
             Ok(read) => {
                 backoff.reset(now);
                 gateway.record_timeline("crashes", read.position.timeline);
-                position = Some(match current {
+                cursor = Some(match current {
                     Some(current) => current.advance(read.position),
                     None => Cursor::of_read(read.position),
                 });
@@ -84,7 +84,7 @@
                     sleep(BATCH_DELAY).await;
                 }
             }
-            Err(SourceError::HistoryGone) => position = None,
+            Err(SourceError::HistoryGone) => cursor = None,
             Err(error) => backoff.wait(error, now).await,
         }
     }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -126,11 +126,11 @@
 
 async fn watch_config(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.source);
-    let mut position: Option<Cursor> = None;
+    let mut cursor: Option<Cursor> = None;
     let mut backoff = Backoff::new("config");
     loop {
         let requested_at = gateway.now();
-        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
+        let current = cursor.filter(|c| c.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => {
                 let wait = backoff.limit_wait(CONFIG_POLL);
@@ -144,7 +144,7 @@
             Ok(read) => {
                 backoff.reset(now);
                 gateway.record_timeline("config", read.position.timeline);
-                position = Some(match current {
+                cursor = Some(match current {
                     Some(current) => current.advance(read.position),
                     None => Cursor::of_read(read.position),
                 });
@@ -156,7 +156,7 @@
                 };
                 apply_config(&gateway, read, confirmed_at, now);
             }
-            Err(SourceError::HistoryGone) => position = None,
+            Err(SourceError::HistoryGone) => cursor = None,
             Err(error) => backoff.wait(error, now).await,
         }
     }
@@ -191,10 +191,10 @@
 
 async fn watch_servers(gateway: Arc<Gateway>) {
     let source = Arc::clone(&gateway.adapter.source);
-    let mut position: Option<Cursor> = None;
+    let mut cursor: Option<Cursor> = None;
     let mut backoff = Backoff::new("servers");
     loop {
-        let current = position.filter(|p| p.is_current(RESYNC_INTERVAL));
+        let current = cursor.filter(|c| c.is_current(RESYNC_INTERVAL));
         let response = match current {
             Some(current) => source
                 .watch_servers(current.after, backoff.limit_wait(REGISTRY_POLL))
@@ -216,14 +216,14 @@
             Ok((reached, updates)) => {
                 backoff.reset(now);
                 gateway.record_timeline("servers", reached.after.timeline);
-                position = Some(reached);
+                cursor = Some(reached);
                 let changed = !updates.is_empty();
                 gateway.fleet().apply(updates, now);
                 if changed {
                     sleep(BATCH_DELAY).await;
                 }
             }
-            Err(SourceError::HistoryGone) => position = None,
+            Err(SourceError::HistoryGone) => cursor = None,
             Err(error) => {
                 gateway.view().record_store_failure();
                 backoff.wait(error, now).await;
