--- a/tests/integration/deadly_requests.rs
+++ b/tests/integration/deadly_requests.rs
@@ -103,6 +103,18 @@
     check_kind("/stock/deadly/").await;
 }
 
+/// Guards against sending a request that may be repeated to the next replica before it is known that
+/// the first one has crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_waits_for_the_check() {
+    let deployment = Deployment::start().await;
+    let gateway = Gateway::start(&deployment.site, 1).await;
+    crash_on_request(&deployment.site);
+    let answer = send_deadly(&gateway, "/stock/deadly/", OWN_PROMPT, 0).await;
+    assert_eq!(count_arrivals(&deployment.site), 1);
+    assert_eq!(answer.seal, None, "{answer:?}");
+}
+
 /// Guards against refusing sound requests because they share a part of their prompt with the one that
 /// crashes replicas.
 #[tokio::test(flavor = "multi_thread")]
