--- a/tests/integration/restored_view.rs
+++ b/tests/integration/restored_view.rs
@@ -15,17 +15,13 @@
 use siskinbend_site::registry::ServerUpdate;
 use siskinbend_site::source::ServerChange;
 use siskinbend_site::view::Settings;
-use siskinbend_types::AgentId;
-use siskinbend_types::Time;
 use siskinbend_types::Timeline;
 use siskinbend_types::Version;
 
-/// Start of the server processes, in Unix milliseconds.
-const STARTED_MS: u64 = 100;
-
-fn at(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
+use crate::site_view::STARTED_MS;
+use crate::site_view::at;
+use crate::site_view::id;
+use crate::site_view::server;
 
 fn answer<Content>(timeline: u64, content: Content) -> Versioned<Content> {
     Versioned {
@@ -70,22 +66,6 @@
     view.config().map(|c| c.version.0)
 }
 
-fn id(n: usize) -> AgentId {
-    format!("server-{n}").parse().expect("a valid name")
-}
-
-fn server(n: usize, state: ServerState) -> BackendServer {
-    BackendServer {
-        id: id(n),
-        service: "drafts".parse().expect("a valid name"),
-        address: ([127, 0, 0, 1], 9_000 + n as u16).into(),
-        zone: "north".parse().expect("a valid name"),
-        slots: 4,
-        state,
-        started_ms: STARTED_MS,
-    }
-}
-
 /// Guards against changes that are missed because a watch goes on from a position that means
 /// something else in the new history.
 #[test]
--- a/tests/integration/site_view.rs
+++ b/tests/integration/site_view.rs
@@ -17,15 +17,18 @@
 use siskinbend_types::Time;
 use siskinbend_types::Version;
 
-fn at(millis: u64) -> Time {
+/// Start of the server processes, in Unix milliseconds.
+pub const STARTED_MS: u64 = 1;
+
+pub fn at(millis: u64) -> Time {
     Time::from_millis(millis)
 }
 
-fn id(n: usize) -> AgentId {
+pub fn id(n: usize) -> AgentId {
     format!("server-{n}").parse().expect("a valid name")
 }
 
-fn server(n: usize, state: ServerState) -> BackendServer {
+pub fn server(n: usize, state: ServerState) -> BackendServer {
     BackendServer {
         id: id(n),
         service: "drafts".parse().expect("a valid name"),
@@ -33,7 +36,7 @@
         zone: "north".parse().expect("a valid name"),
         slots: 4,
         state,
-        started_ms: 1,
+        started_ms: STARTED_MS,
     }
 }
 
