Prepare the choice of servers for more rules than request limits

Cause: evacuation, slow start and pauses all withhold requests from servers, as the request limits do, and the choice in the fleet knew only the limits.

Change: a trait SendRule, and SendRules that combines all rules and names the one that leaves no server. Types that the new parts share: reasons of refusal, slow start of a service, cold time of a server, bounds. Nothing uses them yet; the choice is as before.

Ruled out: closed groups as a rule; they concern groups, not servers.

--- a/crates/routing/src/server_limits.rs
+++ b/crates/routing/src/server_limits.rs
@@ -11,9 +11,11 @@
 
 use siskinbend_types::AgentId;
 use siskinbend_types::Rate;
+use siskinbend_types::Reason;
 use siskinbend_types::Time;
 use smol_str::SmolStr;
 
+use crate::SendRule;
 use crate::subset::stable_hash;
 
 /// Number of gateways that share even the lowest limit.
@@ -229,8 +231,18 @@
         (previous != limit).then_some(LimitChange { previous, limit })
     }
 
-    /// Lists the backend servers that may get no request of this gateway now.
-    pub fn list_exhausted(&self, now: Time) -> Vec<AgentId> {
+    /// Returns the number of backend servers with a limit.
+    pub fn count(&self) -> usize {
+        self.limits.len()
+    }
+}
+
+impl SendRule for ServerLimits {
+    fn reason(&self) -> Reason {
+        Reason::ServerLimit
+    }
+
+    fn list_withheld(&self, now: Time) -> Vec<AgentId> {
         let exhausted = self
             .limits
             .iter()
@@ -238,20 +250,13 @@
         exhausted.map(|(server, _)| server.clone()).collect()
     }
 
-    /// Records that a request was sent to a backend server.
-    pub fn record_dispatch(&mut self, server: &AgentId, now: Time) {
+    fn record_dispatch(&mut self, server: &AgentId, now: Time) {
         if let Some(limit) = self.limits.get_mut(server) {
             limit.record_dispatch(&self.gateways, now);
         }
     }
 
-    /// Forgets a backend server.
-    pub fn remove(&mut self, server: &AgentId) {
+    fn remove(&mut self, server: &AgentId) {
         self.limits.remove(server);
     }
-
-    /// Returns the number of backend servers with a limit.
-    pub fn count(&self) -> usize {
-        self.limits.len()
-    }
 }
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use siskinbend_types::Organisation;
+use siskinbend_types::Rate;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Version;
 use smol_str::SmolStr;
@@ -116,6 +117,27 @@
     pub name: ServiceName,
     /// Expert layout, if the service runs a model.
     pub engine: Option<ExpertLayout>,
+    /// What its backend servers tolerate after their start; `None` if they need no slow start.
+    pub slow_start: Option<SlowStartLimit>,
+}
+
+/// What the backend servers of a service tolerate after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowStartLimit {
+    /// Time for which a backend server is cold after its start.
+    pub duration: Duration,
+    /// Requests that a cold backend server tolerates, from all gateways together.
+    pub rate: Rate,
+}
+
+impl Hash for SlowStartLimit {
+    fn hash<State>(&self, state: &mut State)
+    where
+        State: Hasher,
+    {
+        self.duration.hash(state);
+        self.rate.per_second().to_bits().hash(state);
+    }
 }
 
 /// Owner of an API key.
--- a/crates/site/src/headers.rs
+++ b/crates/site/src/headers.rs
@@ -60,6 +60,12 @@
     pub load: Option<LoadReport>,
     /// Requests a second that the backend server takes from all gateways together.
     pub limit: Option<Rate>,
+    /// Time for which the backend server stays cold after its start.
+    pub cold_for: Option<Duration>,
+    /// Whether the backend server is leaving.
+    pub leaving: bool,
+    /// Time for which the backend server wants no requests of this gateway.
+    pub pause: Option<Duration>,
 }
 
 /// Translates the headers of one platform.
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -1,6 +1,7 @@
 //! Backend servers in the platform's registry.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use siskinbend_types::AgentId;
 use siskinbend_types::ServiceName;
@@ -30,6 +31,9 @@
     pub slots: u32,
     /// Whether the backend server accepts new requests.
     pub state: ServerState,
+    /// Time for which the backend server stays cold after its start, counted from the time at which
+    /// the entry was written.
+    pub cold_for: Duration,
     /// Start time of the process, in Unix milliseconds by its own clock; 0 if unknown.
     pub started_ms: u64,
 }
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -43,6 +43,11 @@
     pub retry_ratio: f64,
     /// Number of retries allowed beyond that ratio.
     pub retry_slack: u32,
+    /// Maximum rate of requests to a cold backend server, as a multiple of the rate that it
+    /// tolerates.
+    pub cold_overrun: f64,
+    /// Number of requests a second allowed beyond that.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -52,6 +57,8 @@
             grace: Duration::from_secs(8),
             retry_ratio: 0.1,
             retry_slack: 30,
+            cold_overrun: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -135,6 +135,14 @@
     OutcomeLost => "outcome_lost", 409, "What became of an earlier request with this key isn't known.";
     /// The answer was too large to be stored with its idempotency key.
     AnswerNotKept => "answer_not_kept", 409, "The request was answered; the answer was too large to keep.";
+    /// All replicas are in availability zones that are being evacuated.
+    ZoneEvacuated => "zone_evacuated", 503, "The availability zones of all replicas are being evacuated.";
+    /// All replicas have just started and have reached the request rate that they tolerate.
+    ColdStart => "cold_start", 429, "All replicas have just started and accept few requests.";
+    /// All replicas have asked for a pause.
+    ServersPaused => "servers_paused", 503, "All replicas have asked for a pause.";
+    /// No replica is in a region that the route and the organisation allow.
+    RegionNotAllowed => "region_not_allowed", 503, "No replica is in a region that may serve the request.";
 }
 
 impl fmt::Display for Reason {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -22,9 +22,11 @@
 use siskinbend_routing::Observation;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
+use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
+use siskinbend_routing::send_rules;
 use siskinbend_site::BackendServer;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::ServerState;
@@ -123,7 +125,7 @@
     bounds: Bounds,
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
-    server_limits: ServerLimits,
+    rules: SendRules,
 }
 
 impl Fleet {
@@ -133,7 +135,9 @@
             bounds: settings.bounds,
             services: HashMap::new(),
             replicas: BTreeMap::new(),
-            server_limits: ServerLimits::new(settings.node.clone()),
+            rules: SendRules {
+                limits: ServerLimits::new(settings.node.clone()),
+            },
         }
     }
 
@@ -212,7 +216,7 @@
     fn remove(&mut self, id: &AgentId) {
         if let Some(replica) = self.replicas.remove(id) {
             log::info!(server:% = id, service:% = replica.server.service; "server_removed");
-            self.server_limits.remove(id);
+            self.rules.remove(id);
             if let Some(routing) = self.services.get_mut(&replica.server.service) {
                 routing.picker.remove(id);
                 routing.liveness.remove(id);
@@ -263,7 +267,8 @@
         now: Time,
     ) {
         let change = self
-            .server_limits
+            .rules
+            .limits
             .record_answer(&target.id, limit, sent_at, now);
         if let Some(change) = change {
             let text = |rate: Option<Rate>| rate.map_or("none".to_owned(), |r| r.to_string());
@@ -285,14 +290,15 @@
         time_of_day: Duration,
         now: Time,
     ) -> (usize, usize) {
-        let before = self.server_limits.count_gateways();
-        self.server_limits.set_gateways(names, time_of_day, now);
-        (before, self.server_limits.count_gateways())
+        let limits = &mut self.rules.limits;
+        let before = limits.count_gateways();
+        limits.set_gateways(names, time_of_day, now);
+        (before, limits.count_gateways())
     }
 
     /// Returns the limits that backend servers name.
     pub fn server_limits(&self) -> &ServerLimits {
-        &self.server_limits
+        &self.rules.limits
     }
 
     /// Repeats the latest load report of every backend server and closes expired idle connections.
@@ -344,7 +350,7 @@
         permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
-        let exhausted = self.server_limits.list_exhausted(now);
+        let withheld = self.rules.list_withheld(now);
         let routing = self.service(service);
         let mut closed_groups = routing.list_closed(now);
         let is_new = permit
@@ -359,26 +365,25 @@
         let is_limited = !full.is_empty();
         closed_groups.extend(full);
         let mut requirements = Requirements {
-            avoid: [avoid, &exhausted].concat(),
+            avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
             closed_groups,
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
         let choice = picker.choose(&requirements, now, &mut rand::rng());
         let choice = choice.map_err(|reason| {
-            requirements.avoid.truncate(avoid.len());
-            let can_choose = |picker: &mut Picker| {
+            let cause = send_rules::find_cause(&withheld, |left_out| {
+                requirements.avoid = [avoid, left_out].concat();
                 let choice = picker.choose(&requirements, now, &mut rand::rng());
                 choice.is_ok()
-            };
-            match reason {
-                _ if !exhausted.is_empty() && can_choose(picker) => Reason::ServerLimit,
-                _ if is_limited => Reason::ShareExceeded,
-                _ => reason,
-            }
+            });
+            cause.unwrap_or(match is_limited {
+                true => Reason::ShareExceeded,
+                false => reason,
+            })
         })?;
         picker.record_dispatch(&choice.agent, now);
-        self.server_limits.record_dispatch(&choice.agent, now);
+        self.rules.record_dispatch(&choice.agent, now);
         let routing = self.service(service);
         let group = routing.picker.find_group(&choice.agent).cloned();
         if let Some(permit) = permit {
--- a/tests/integration/server_limits.rs
+++ b/tests/integration/server_limits.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use siskinbend_routing::SendRule;
 use siskinbend_routing::ServerLimits;
 use siskinbend_types::AgentId;
 use siskinbend_types::Rate;
@@ -73,7 +74,7 @@
     for at in (0..RUN_MS).step_by(STEP_MS as usize) {
         for (n, Gateway { limits, start }) in gateways.iter_mut().enumerate() {
             let now = *start + Duration::from_millis(at);
-            while wants(n, at) && limits.list_exhausted(now).is_empty() {
+            while wants(n, at) && limits.list_withheld(now).is_empty() {
                 limits.record_dispatch(&server(), now);
                 sent.push(at);
             }
@@ -136,11 +137,11 @@
     let named = limits.record_answer(&server(), Some(rate(2.0)), at(0), at(100));
     assert!(named.is_some());
     assert_eq!(limits.record_answer(&server(), None, at(50), at(200)), None);
-    assert_eq!(limits.list_exhausted(at(200)), [server()]);
+    assert_eq!(limits.list_withheld(at(200)), [server()]);
     let ended = limits.record_answer(&server(), None, at(150), at(300));
     assert_eq!(ended.and_then(|change| change.limit), None);
     assert_eq!(limits.count(), 0);
-    assert!(limits.list_exhausted(at(300)).is_empty());
+    assert!(limits.list_withheld(at(300)).is_empty());
 }
 
 /// Guards against shares that add up to more than the limit while a gateway joins: the earlier ones
--- a/tests/integration/site_view.rs
+++ b/tests/integration/site_view.rs
@@ -36,6 +36,7 @@
         zone: "north".parse().expect("a valid name"),
         slots: 4,
         state,
+        cold_for: Duration::ZERO,
         started_ms: STARTED_MS,
     }
 }
