--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
 mod overload;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -47,6 +48,7 @@
 
 use super::guards::AdmissionPermit;
 use super::metrics::ServiceState;
+use zones::Zones;
 
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
@@ -128,6 +130,7 @@
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
     rules: SendRules,
+    zones: Zones,
 }
 
 impl Fleet {
@@ -140,6 +143,7 @@
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
             },
+            zones: Zones::default(),
         }
     }
 
@@ -353,6 +357,7 @@
         now: Time,
     ) -> Result<Target, Reason> {
         let withheld = self.rules.list_withheld(now);
+        let closed_zones = self.zones.list_closed();
         let routing = self.service(service);
         let mut closed_groups = routing.list_closed(now);
         let new_priority = permit
@@ -360,7 +365,9 @@
             .filter(|permit| permit.counted.is_none())
             .map(|permit| permit.priority);
         let full = new_priority.map_or_else(Vec::new, |priority| {
-            let estimate_load = |group: Option<&EngineGroup>| routing.picker.estimate_load(group);
+            let picker = &routing.picker;
+            let estimate_load =
+                |group: Option<&EngineGroup>| picker.estimate_load(group, &closed_zones);
             routing.limits.list_full(priority, estimate_load, now)
         });
         let is_limited = !full.is_empty();
@@ -368,6 +375,7 @@
         let mut requirements = Requirements {
             avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
             closed_groups,
+            closed_zones,
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
@@ -377,6 +385,13 @@
             routing.limits.record_request(priority, is_admitted, now);
         }
         let choice = choice.map_err(|reason| {
+            if picker.are_all_closed(&requirements.closed_zones) {
+                // Whatever else leaves no server is found as if no zone were evacuated.
+                requirements.closed_zones.clear();
+                if picker.choose(&requirements, now, &mut rand::rng()).is_ok() {
+                    return Reason::ZoneEvacuated;
+                }
+            }
             let cause = send_rules::find_cause(&withheld, |left_out| {
                 requirements.avoid = [avoid, left_out].concat();
                 let choice = picker.choose(&requirements, now, &mut rand::rng());
--- a/src/gateway/fleet/overload.rs
+++ b/src/gateway/fleet/overload.rs
@@ -12,9 +12,11 @@
 impl Fleet {
     /// Records a pause within an answer of a target, as a multiple of its goal.
     pub fn record_pause(&mut self, target: &Target, ratio: f64, now: Time) {
+        let closed_zones = self.zones.list_closed();
         let routing = self.service(&target.service);
         let picker = &routing.picker;
-        let estimate_load = |group: Option<&EngineGroup>| picker.estimate_load(group);
+        let estimate_load =
+            |group: Option<&EngineGroup>| picker.estimate_load(group, &closed_zones);
         let change = routing
             .limits
             .record_pause(&target.group, ratio, estimate_load, now);
