Heed what servers say in answers, and the regions that may serve a request

Cause: a server that is leaving or overloaded says so in its answers before the registry does. The gateway ignored both, went on sending as long as the registry listed the server, and knew no regions.

Change: two rules, Withdrawals and Pauses, withhold every attempt from a leaving run and from a paused server. Only answers of the asked server to the request that was sent count. If all servers that could take a request pause, the caller is told when the first pause ends. A pause neither ejects a server nor marks its queue as full. The decoder notes malformed headers in ResponseHead::ignored, and the gateway counts them. /admin/status on the metrics listener shows services, groups, and leaving, paused and limited servers; explain shows why requests passed by servers and zones.

The test of the metrics table now makes a server send a malformed header, because a counter with labels is served only after it counted. restored_view names the new field of a route.

Ruled out: marking a leaving server as draining in the picker, whose state is rebuilt from the registry; probing a paused server, which has named the time.

--- a/crates/routing/src/group_limits.rs
+++ b/crates/routing/src/group_limits.rs
@@ -38,6 +38,11 @@
         self.limits.entry(group.clone()).or_default()
     }
 
+    /// Finds the limit of a group, if there has been one.
+    pub fn find(&self, group: &Option<EngineGroup>) -> Option<&ConcurrencyLimit> {
+        self.limits.get(group)
+    }
+
     /// Number of requests in flight in all groups.
     pub fn in_flight(&self) -> u32 {
         self.limits.values().map(ConcurrencyLimit::in_flight).sum()
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -9,9 +9,11 @@
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
 use siskinbend_types::Reason;
+use siskinbend_types::RegionSet;
 use siskinbend_types::Time;
 use siskinbend_types::Window;
 use siskinbend_types::Zone;
+use siskinbend_types::ZoneRegions;
 
 use crate::Explanation;
 use crate::Feature;
@@ -74,6 +76,8 @@
     /// Lock-step groups that can't run requests at present; `None` stands for the replicas whose
     /// group is unknown or that are in none.
     pub closed_groups: Vec<Option<EngineGroup>>,
+    /// Regions that the replica may be in.
+    pub regions: RegionSet,
 }
 
 impl Requirements {
@@ -120,6 +124,8 @@
     settings: Settings,
     own_zone: Zone,
     policy: Box<dyn Policy>,
+    /// Regions of the replicas' zones.
+    regions: ZoneRegions,
     replicas: BTreeMap<AgentId, Replica>,
     /// Last call of `take_due_probes`.
     last_probe_check: Time,
@@ -134,6 +140,7 @@
             settings,
             own_zone,
             policy,
+            regions: ZoneRegions::default(),
             replicas,
             last_probe_check: Time::default(),
         }
@@ -176,6 +183,11 @@
         }
     }
 
+    /// Sets the regions of the availability zones.
+    pub fn set_regions(&mut self, regions: ZoneRegions) {
+        self.regions = regions;
+    }
+
     /// Sets the lock-step group of a known replica.
     pub fn set_group(&mut self, agent: &AgentId, group: &EngineGroup) {
         if let Some(replica) = self.replicas.get_mut(agent) {
@@ -219,7 +231,8 @@
     ///
     /// # Errors
     ///
-    /// `Draining` if all replicas drain, otherwise `NoReplica`.
+    /// `RegionNotAllowed` if no replica is in a region that is allowed, `Draining` if all replicas
+    /// drain, otherwise `NoReplica`.
     pub fn choose<R>(
         &mut self,
         requirements: &Requirements,
@@ -231,7 +244,8 @@
     {
         let mut usable: Vec<&Replica> = Vec::with_capacity(self.replicas.len());
         let mut readmitted = Vec::new();
-        let candidates = self.replicas.values();
+        let is_allowed = |r: &&Replica| requirements.regions.allows(self.regions.find(&r.zone));
+        let candidates = self.replicas.values().filter(is_allowed);
         for replica in candidates.filter(|r| requirements.are_met_by(r)) {
             match self.assess(replica, now) {
                 (Verdict::Usable, _) => usable.push(replica),
@@ -248,6 +262,9 @@
         }
         self.exclude_slow(&mut usable);
         if usable.is_empty() {
+            if !self.replicas.is_empty() && !self.replicas.values().any(|r| is_allowed(&r)) {
+                return Err(Reason::RegionNotAllowed);
+            }
             let all_draining =
                 !self.replicas.is_empty() && self.replicas.values().all(|r| r.draining);
             return Err(if all_draining {
--- a/crates/routing/src/send_rules.rs
+++ b/crates/routing/src/send_rules.rs
@@ -7,7 +7,9 @@
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
 
+use crate::Pauses;
 use crate::ServerLimits;
+use crate::Withdrawals;
 
 /// Rule that withholds requests from some backend servers.
 pub trait SendRule: Send {
@@ -38,15 +40,21 @@
 pub struct SendRules {
     /// Request limits that backend servers name.
     pub limits: ServerLimits,
+    /// Pauses that backend servers have asked for.
+    pub pauses: Pauses,
+    /// Backend servers that say that they are leaving.
+    pub withdrawals: Withdrawals,
 }
 
 impl SendRules {
-    fn all(&self) -> [&dyn SendRule; 1] {
-        [&self.limits]
+    /// Rules that hold for good come last: where several leave no server, the caller is told when the
+    /// first of the others lets requests through again.
+    fn all(&self) -> [&dyn SendRule; 3] {
+        [&self.limits, &self.pauses, &self.withdrawals]
     }
 
-    fn all_mut(&mut self) -> [&mut dyn SendRule; 1] {
-        [&mut self.limits]
+    fn all_mut(&mut self) -> [&mut dyn SendRule; 3] {
+        [&mut self.limits, &mut self.pauses, &mut self.withdrawals]
     }
 
     /// Lists the backend servers that may get no request now, by rule.
--- a/crates/routing/src/server_limits.rs
+++ b/crates/routing/src/server_limits.rs
@@ -231,6 +231,13 @@
         (previous != limit).then_some(LimitChange { previous, limit })
     }
 
+    /// Lists the backend servers with a limit.
+    pub fn list(&self) -> impl Iterator<Item = (&AgentId, Rate)> {
+        self.limits
+            .iter()
+            .map(|(server, limit)| (server, limit.rate))
+    }
+
     /// Returns the number of backend servers with a limit.
     pub fn count(&self) -> usize {
         self.limits.len()
--- /dev/null
+++ b/crates/routing/src/withdrawal.rs
@@ -0,0 +1,89 @@
+//! Backend servers that say in their answers that they are leaving.
+//!
+//! A server that leaves says so before the registry does, or while the registry can't be read. From
+//! then on the gateway sends nothing more to this run of the server, whatever the registry says.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use siskinbend_types::AgentId;
+use siskinbend_types::Incarnation;
+use siskinbend_types::Reason;
+use siskinbend_types::Time;
+
+use crate::SendRule;
+
+/// Time for which a leaving run is remembered after it was last registered. It exceeds the age of
+/// copies from which the store is restored, which list servers that have left.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Leaving run of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Withdrawal {
+    /// The run.
+    pub run: Incarnation,
+    /// When an answer first said that it leaves.
+    pub since: Time,
+    /// When the run was last known to be registered.
+    registered_at: Time,
+}
+
+/// Leaving backend servers, as far as their answers to this gateway said so.
+#[derive(Debug, Default)]
+pub struct Withdrawals {
+    leaving: BTreeMap<AgentId, Withdrawal>,
+}
+
+impl Withdrawals {
+    /// Records that a run of a backend server is leaving. Returns whether this was not known.
+    pub fn record(&mut self, server: &AgentId, run: Incarnation, now: Time) -> bool {
+        let is_known = |known: &Withdrawal| known.run == run;
+        if self.leaving.get(server).is_some_and(is_known) {
+            return false;
+        }
+        let withdrawal = Withdrawal {
+            run,
+            since: now,
+            registered_at: now,
+        };
+        self.leaving.insert(server.clone(), withdrawal);
+        true
+    }
+
+    /// Records that a run of a backend server is registered. What an earlier run said is forgotten.
+    pub fn observe(&mut self, server: &AgentId, run: Incarnation, now: Time) {
+        match self.leaving.get_mut(server) {
+            Some(known) if known.run == run => known.registered_at = now,
+            Some(_) => {
+                self.leaving.remove(server);
+            }
+            None => {}
+        }
+    }
+
+    /// Forgets runs that have not been registered for long.
+    pub fn expire(&mut self, now: Time) {
+        self.leaving
+            .retain(|_, w| now.since(w.registered_at) < RETENTION);
+    }
+
+    /// Lists the leaving backend servers, also those that are no longer registered.
+    pub fn list(&self) -> impl Iterator<Item = (&AgentId, &Withdrawal)> {
+        self.leaving.iter()
+    }
+}
+
+impl SendRule for Withdrawals {
+    fn reason(&self) -> Reason {
+        Reason::Draining
+    }
+
+    fn list_withheld(&self, _: Time) -> Vec<AgentId> {
+        self.leaving.keys().cloned().collect()
+    }
+
+    fn record_dispatch(&mut self, _: &AgentId, _: Time) {}
+
+    /// Has no effect: the entry of the same run may come back with a restored store.
+    fn remove(&mut self, _: &AgentId) {}
+}
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -8,6 +8,7 @@
 
 use siskinbend_types::Organisation;
 use siskinbend_types::Rate;
+use siskinbend_types::RegionSet;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Version;
 use smol_str::SmolStr;
@@ -69,6 +70,8 @@
     pub priority: u8,
     /// Whether requests are accepted without an API key.
     pub public: bool,
+    /// Regions whose backend servers may serve the requests.
+    pub regions: RegionSet,
 }
 
 /// Expert layout of a service's engines.
@@ -147,6 +150,8 @@
     pub organisation: Organisation,
     /// Priority of its requests, which overrides that of the route; 0 is the highest.
     pub priority: Option<u8>,
+    /// Regions whose backend servers may serve its requests.
+    pub regions: RegionSet,
 }
 
 /// Size and time limits on requests and connections of callers.
--- a/crates/site/src/headers.rs
+++ b/crates/site/src/headers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use siskinbend_routing::LoadReport;
 use siskinbend_types::AgentId;
 use siskinbend_types::Organisation;
@@ -66,6 +67,17 @@
     pub leaving: bool,
     /// Time for which the backend server wants no requests of this gateway.
     pub pause: Option<Duration>,
+    /// Headers that were ignored because their values are malformed.
+    pub ignored: Vec<IgnoredHeader>,
+}
+
+/// Header that was ignored because its value is malformed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IgnoredHeader {
+    /// Name of the header.
+    pub name: HeaderName,
+    /// Beginning of the value.
+    pub value: SmolStr,
 }
 
 /// Translates the headers of one platform.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -24,6 +24,7 @@
 pub use engine::Engine;
 pub use headers::ForwardHead;
 pub use headers::HeaderCodec;
+pub use headers::IgnoredHeader;
 pub use headers::RequestHead;
 pub use headers::ResponseHead;
 pub use membership::Member;
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -5,6 +5,7 @@
 
 use siskinbend_types::ServiceName;
 use siskinbend_types::Zone;
+use siskinbend_types::ZoneRegions;
 use smol_str::SmolStr;
 
 /// Settings of one process; `check-settings` prints them under these names.
@@ -28,6 +29,8 @@
     pub service: Option<ServiceName>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Regions of the availability zones.
+    pub regions: ZoneRegions,
     /// Limits set by the operators.
     pub bounds: Bounds,
 }
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod ranks;
 pub mod replica;
+pub mod signals;
 pub mod store;
 
 use std::fmt::Write as _;
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -32,6 +32,7 @@
 use tokio::task::AbortHandle;
 
 use super::ranks::Group;
+use super::signals::Signals;
 use crate::counters::lock;
 use crate::server::DroppedResponse;
 use crate::server::spawn_abortable;
@@ -56,6 +57,8 @@
     pub overloaded: AtomicBool,
     /// Closes the connection instead of answering, after the request was executed.
     pub lose_answers: AtomicBool,
+    /// What the answers say about the replica.
+    pub signals: Signals,
     /// Requests a second that the answers name as the limit.
     pub limit: Mutex<Option<f64>>,
     /// When each request arrived while there was a limit.
@@ -99,6 +102,7 @@
             cut_after: AtomicU32::new(0),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
+            signals: Signals::default(),
             limit: Mutex::default(),
             limited_arrivals: Mutex::default(),
             crash_part: Mutex::default(),
@@ -210,13 +214,18 @@
 
 /// Answers a request, and names the limit if there is one.
 async fn run(State(replica): State<Arc<Replica>>, request: Request<Body>) -> Response {
+    let answer = match replica.signals.receive() {
+        Some(rejection) => rejection,
+        None => answer(&replica, &request),
+    };
+    let answer = replica.signals.mark(answer);
     let limit = *lock(&replica.limit);
     let Some(limit) = limit else {
-        return answer(&replica, &request);
+        return answer;
     };
     lock(&replica.limited_arrivals).push(Instant::now());
     let head = [("server-limit", limit.to_string())];
-    (head, answer(&replica, &request)).into_response()
+    (head, answer).into_response()
 }
 
 fn answer(replica: &Arc<Replica>, request: &Request<Body>) -> Response {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod name;
 pub mod outcome;
 pub mod quantity;
+pub mod region;
 pub mod time;
 
 pub use ids::Attempt;
@@ -21,6 +22,7 @@
 pub use name::GroupName;
 pub use name::Organisation;
 pub use name::PromptPart;
+pub use name::Region;
 pub use name::ServiceName;
 pub use name::VmId;
 pub use name::Zone;
@@ -29,6 +31,8 @@
 pub use outcome::Reason;
 pub use quantity::ByteSize;
 pub use quantity::Rate;
+pub use region::RegionSet;
+pub use region::ZoneRegions;
 pub use time::Time;
 
 /// Why a text could not be parsed.
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -126,3 +126,7 @@
     /// Id of one part of a prompt, as callers state it. Prompts with the same text share parts.
     PromptPart
 );
+free_text!(
+    /// Name of a region, which consists of availability zones.
+    Region
+);
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -1,5 +1,6 @@
 //! The command that merges the log lines about one request into a timeline.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::BufRead;
@@ -24,6 +25,17 @@
     "group_state",
 ];
 
+/// Events that withhold requests from servers or zones, or let them through again. The last one of
+/// each server and zone is shown, because a request passes by several.
+const WITHHOLDING_EVENTS: [&str; 6] = [
+    "zone_evacuated",
+    "zone_reopened",
+    "server_cold",
+    "server_warm",
+    "server_leaving",
+    "server_paused",
+];
+
 /// Flags of `siskinbend explain`.
 #[derive(Debug, Clone, Bpaf)]
 pub struct ExplainFlags {
@@ -96,12 +108,36 @@
             };
             timeline.extend(lines.iter().rfind(is_context).cloned());
         }
+        timeline.extend(list_withholding(&lines, &matching, first.time));
         timeline.extend(matching.into_iter().cloned());
     }
     timeline.sort_by(|a, b| a.time.total_cmp(&b.time));
     timeline
 }
 
+/// Lists the last line before `time` about each server and zone that requests were withheld from. Lines
+/// that name a server are limited to the services and servers that the request's lines name: a
+/// refused request names no server.
+fn list_withholding(lines: &[Line], matching: &[&Line], time: f64) -> Vec<Line> {
+    let named = |name: &'static str| -> BTreeSet<&str> {
+        let values = matching.iter().filter_map(|l| find_field(&l.text, name));
+        values.collect()
+    };
+    let (servers, services) = (named("server"), named("service"));
+    let mut latest = BTreeMap::new();
+    for line in lines.iter().filter(|l| l.time <= time) {
+        let event = find_field(&line.text, "event").unwrap_or_default();
+        let server = find_field(&line.text, "server");
+        let service = find_field(&line.text, "service");
+        let concerns = server.is_none_or(|s| servers.contains(s))
+            || service.is_some_and(|s| services.contains(s));
+        if WITHHOLDING_EVENTS.contains(&event) && concerns {
+            latest.insert((event, server, find_field(&line.text, "zone")), line);
+        }
+    }
+    latest.into_values().cloned().collect()
+}
+
 fn read_log(path: &Path) -> std::io::Result<(String, Vec<String>)> {
     let name = path.file_stem().unwrap_or_default().to_string_lossy();
     let lines = BufReader::new(File::open(path)?).lines();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
 use siskinbend_site::Route;
 use siskinbend_types::Organisation;
 use siskinbend_types::Reason;
+use siskinbend_types::RegionSet;
 use siskinbend_types::RequestFingerprint;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
@@ -43,6 +44,7 @@
 use super::fleet::Target;
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
+use super::ignored_headers;
 
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -63,6 +65,8 @@
     pub service: ServiceName,
     pub organisation: Option<Organisation>,
     pub priority: Option<u8>,
+    /// Regions that the route and the organisation allow.
+    pub regions: RegionSet,
     /// Computed when it is first needed.
     pub fingerprint: OnceLock<RequestFingerprint>,
     /// Version of the configuration with which the request was admitted.
@@ -76,6 +80,8 @@
     pub attempt: AttemptGuard,
     pub connection: Connection,
     pub response: Response<Incoming>,
+    /// Whether the backend server asks for a pause.
+    pub asks_pause: bool,
 }
 
 /// Attempt without a usable response.
@@ -150,9 +156,10 @@
     gateway.crashes.wait_until_checked(call).await;
     let now = gateway.now();
     check_blocked(gateway, call, now)?;
-    let target = gateway
-        .fleet()
-        .choose(&call.service, attempts.tried(), permit, now)?;
+    let target =
+        gateway
+            .fleet()
+            .choose(&call.service, attempts.tried(), &call.regions, permit, now)?;
     attempts.start_attempt();
     let mut attempt = AttemptGuard::new(gateway, target);
     log::info!(
@@ -295,13 +302,38 @@
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             fleet.record_server_limit(&attempt.target, head.limit, attempt.sent_at, now);
         }
+        if is_own_answer(call, response.status(), &head) {
+            fleet.record_answer(&attempt.target, &head, now);
+        }
         if let Some(load) = head.load {
             fleet.record_load(&attempt.target.id, Some(load), now);
         }
     }
+    ignored_headers::record(
+        &gateway.metrics.ignored_headers,
+        &attempt.target,
+        &head.ignored,
+    );
     check_response(call, attempt, connection, response, &head)
 }
 
+/// Whether a response belongs to another request.
+fn is_foreign(call: &Call, status: StatusCode, head: &ResponseHead) -> bool {
+    // A late copy of an earlier answer may lack its id, so that a success must state its own.
+    match &head.id {
+        Some(id) => *id != call.head.id,
+        None => status.is_success() && !call.head.id.is_empty(),
+    }
+}
+
+/// Whether a response is the answer of the target to the request. A success without authentication
+/// code may come from anywhere.
+fn is_own_answer(call: &Call, status: StatusCode, head: &ResponseHead) -> bool {
+    status != StatusCode::MISDIRECTED_REQUEST
+        && !is_foreign(call, status, head)
+        && (head.sealed || !status.is_success())
+}
+
 /// Rejects a response that belongs to another request, is encoded, lacks the authentication code or
 /// refuses the request.
 fn check_response(
@@ -312,11 +344,7 @@
     head: &ResponseHead,
 ) -> Result<PendingResponse, FailedAttempt> {
     let status = response.status();
-    // A late copy of an earlier answer may lack its id, so that a success must state its own.
-    let foreign = match &head.id {
-        Some(id) => *id != call.head.id,
-        None => status.is_success() && !call.head.id.is_empty(),
-    };
+    let foreign = is_foreign(call, status, head);
     let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
     let unsealed = status.is_success() && !head.sealed;
     if foreign || encoded || unsealed {
@@ -330,6 +358,7 @@
         attempt.finish(AttemptResult::Failed);
         return Err(FailedAttempt::new(attempt, AttemptFailure::ConnectionLost));
     }
+    let asks_pause = head.pause.is_some_and(|pause| !pause.is_zero());
     if head.not_run {
         // A replica that refuses a request while it has free slots belongs to a closed group.
         let has_free_slots = head.load.is_some_and(|load| load.total() < load.slots);
@@ -345,13 +374,17 @@
             reason:% = reason;
             "attempt_refused"
         );
-        attempt.finish(AttemptResult::Refused(reason));
+        attempt.finish(AttemptResult::Refused(match asks_pause {
+            true => Reason::ServersPaused,
+            false => reason,
+        }));
         return Err(FailedAttempt::new(attempt, AttemptFailure::Refused(reason)));
     }
     let pending = PendingResponse {
         attempt,
         connection,
         response,
+        asks_pause,
     };
     if status.is_server_error() {
         let target = pending.attempt.target.clone();
@@ -365,6 +398,17 @@
     Ok(pending)
 }
 
+impl PendingResponse {
+    /// Returns the result of an attempt that was answered with an error. A server that asks for a
+    /// pause has not failed: it gets its full share of requests when the pause ends.
+    pub fn error_result(&self) -> AttemptResult {
+        match self.asks_pause {
+            true => AttemptResult::Refused(Reason::ServersPaused),
+            false => AttemptResult::Failed,
+        }
+    }
+}
+
 impl FailedAttempt {
     pub fn new(attempt: AttemptGuard, failure: AttemptFailure) -> FailedAttempt {
         FailedAttempt {
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -94,10 +94,12 @@
     call: &Call,
     pending: PendingResponse,
 ) -> Result<BufferedResponse, AttemptFailure> {
+    let error_result = pending.error_result();
     let PendingResponse {
         mut attempt,
         connection,
         response,
+        ..
     } = pending;
     let (parts, body) = response.into_parts();
     let time_left = call.time_left(gateway.now());
@@ -126,7 +128,7 @@
     let is_error = parts.status.is_server_error();
     let first_token = Some(gateway.now().since(call.received_at));
     attempt.finish(match is_error {
-        true => AttemptResult::Failed,
+        true => error_result,
         false => AttemptResult::Ok { first_token },
     });
     if !is_error {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,5 +1,8 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
+mod signals;
+mod state;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -20,10 +23,12 @@
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
 use siskinbend_routing::Observation;
+use siskinbend_routing::Pauses;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
+use siskinbend_routing::Withdrawals;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_routing::send_rules;
@@ -35,16 +40,22 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
-use siskinbend_types::Rate;
 use siskinbend_types::Reason;
+use siskinbend_types::RegionSet;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use siskinbend_types::Window;
 use siskinbend_types::Zone;
+use siskinbend_types::ZoneRegions;
 use smol_str::SmolStr;
 
 use super::guards::AdmissionPermit;
-use super::metrics::ServiceState;
+
+pub(super) use state::GroupState;
+pub(super) use state::LeavingServer;
+pub(super) use state::LimitedServer;
+pub(super) use state::PausedServer;
+pub(super) use state::ServiceState;
 
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
@@ -122,6 +133,7 @@
 /// State of all backend servers and services.
 pub(super) struct Fleet {
     zone: Zone,
+    regions: ZoneRegions,
     bounds: Bounds,
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
@@ -132,15 +144,26 @@
     pub fn new(settings: &NodeSettings) -> Fleet {
         Fleet {
             zone: settings.zone.clone(),
+            regions: settings.regions.clone(),
             bounds: settings.bounds,
             services: HashMap::new(),
             replicas: BTreeMap::new(),
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
+                pauses: Pauses::default(),
+                withdrawals: Withdrawals::default(),
             },
         }
     }
 
+    /// Sets the regions of the availability zones.
+    pub fn set_regions(&mut self, regions: &ZoneRegions) {
+        self.regions = regions.clone();
+        for routing in self.services.values_mut() {
+            routing.picker.set_regions(regions.clone());
+        }
+    }
+
     /// Applies changes of the registry.
     pub fn apply(&mut self, updates: Vec<ServerUpdate>, now: Time) {
         for update in updates {
@@ -190,6 +213,7 @@
                 self.replicas.insert(id.clone(), replica);
             }
         }
+        self.observe_run(&id, now);
         self.record_load(&id, None, now);
     }
 
@@ -258,30 +282,6 @@
         self.service(&service).picker.observe(id, observation, now);
     }
 
-    /// Records the limit that an answer to an attempt names, or that it names none.
-    pub fn record_server_limit(
-        &mut self,
-        target: &Target,
-        limit: Option<Rate>,
-        sent_at: Time,
-        now: Time,
-    ) {
-        let change = self
-            .rules
-            .limits
-            .record_answer(&target.id, limit, sent_at, now);
-        if let Some(change) = change {
-            let text = |rate: Option<Rate>| rate.map_or("none".to_owned(), |r| r.to_string());
-            log::info!(
-                server:% = target.id,
-                service:% = target.service,
-                limit = text(change.limit),
-                previous = text(change.previous);
-                "server_limit_changed"
-            );
-        }
-    }
-
     /// Sets the gateways that share the limits of backend servers. Returns their number before and
     /// now.
     pub fn set_gateways(
@@ -305,8 +305,10 @@
     pub fn refresh(&mut self, now: Time) {
         let ids: Vec<AgentId> = self.replicas.keys().cloned().collect();
         for id in ids {
+            self.observe_run(&id, now);
             self.record_load(&id, None, now);
         }
+        self.expire_signals(now);
         for replica in self.replicas.values_mut() {
             replica.pool.prune();
         }
@@ -323,8 +325,10 @@
                 ..picker::Settings::default()
             };
             let ratio = self.bounds.retry_ratio * RETRY_RATIO_FRACTION;
+            let mut picker = Picker::new(settings, self.zone.clone());
+            picker.set_regions(self.regions.clone());
             let routing = ServiceRouting {
-                picker: Picker::new(settings, self.zone.clone()),
+                picker,
                 budget: RetryBudget::new(RETRY_BURST.min(self.bounds.retry_slack))
                     .with_ratio(ratio),
                 liveness: LivenessTracker::default(),
@@ -347,6 +351,7 @@
         &mut self,
         service: &ServiceName,
         avoid: &[AgentId],
+        regions: &RegionSet,
         permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
@@ -367,6 +372,7 @@
         let mut requirements = Requirements {
             avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
             closed_groups,
+            regions: regions.clone(),
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
@@ -377,10 +383,7 @@
                 let choice = picker.choose(&requirements, now, &mut rand::rng());
                 choice.is_ok()
             });
-            cause.unwrap_or(match is_limited {
-                true => Reason::ShareExceeded,
-                false => reason,
-            })
+            signals::find_reason(reason, cause, is_limited)
         })?;
         picker.record_dispatch(&choice.agent, now);
         self.rules.record_dispatch(&choice.agent, now);
@@ -541,24 +544,6 @@
         }
     }
 
-    /// Describes each service for the metrics.
-    pub fn list_states(&self, now: Time) -> Vec<ServiceState> {
-        let describe = |(service, routing): (&ServiceName, &ServiceRouting)| {
-            let is_own = |p: &&Replica| &p.server.service == service;
-            let replicas = || self.replicas.values().filter(is_own);
-            let ages = replicas().map(|p| now.since(p.reported_at).as_secs_f64());
-            ServiceState {
-                service: service.clone(),
-                servers: replicas().count(),
-                running: routing.limits.in_flight(),
-                limit: routing.limits.total_limit(),
-                report_age: ages.fold(0.0, f64::max),
-                open: routing.list_closed(now).is_empty(),
-            }
-        };
-        self.services.iter().map(describe).collect()
-    }
-
     /// Ends the permit of a request for a service.
     pub fn release(&mut self, service: &ServiceName, permit: &mut AdmissionPermit) {
         self.service(service).release(permit);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -32,6 +32,8 @@
 /// Retry delay for callers whose request cannot be checked because the configuration is missing or
 /// too old.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Resolution of `Retry-After` in refusals.
+const RETRY_STEP: Duration = Duration::from_millis(10);
 /// Lowest priority that engines accept.
 const LOWEST_PRIORITY: u8 = 9;
 /// Timeout of requests that do not specify one.
@@ -75,6 +77,14 @@
         NextStep::Retry | NextStep::ForwardFailure => (Reason::BackendFailed, Outcome::Unknown),
     };
     let now = gateway.now();
+    let pause_left = match (reason, outcome) {
+        (Reason::ServersPaused | Reason::QueueFull, Outcome::NotRun) => gateway
+            .fleet()
+            .find_pause_end(&call.service, &call.regions, now),
+        _ => None,
+    };
+    // The last servers to refuse the request may have done so because they pause.
+    let reason = pause_left.map_or(reason, |_| Reason::ServersPaused);
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
@@ -89,8 +99,10 @@
         .metrics
         .requests
         .record_request(call.service.as_str(), outcome);
-    let retry_delay =
-        (outcome == Outcome::NotRun).then(|| find_retry_delay(gateway, call, reason, now));
+    let retry_delay = (outcome == Outcome::NotRun).then(|| match pause_left {
+        Some(left) => round_up(left).min(call.time_left(now)),
+        None => find_retry_delay(gateway, call, reason, now),
+    });
     problem_response(reason, outcome, retry_delay)
 }
 
@@ -100,15 +112,23 @@
         return blocked_for;
     }
     let cause = match reason {
-        Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit => {
+        Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit | Reason::ServersPaused => {
             retry_after::RefusalCause::Overloaded
         }
-        Reason::NoReplica | Reason::Draining => retry_after::RefusalCause::Closed,
+        Reason::NoReplica | Reason::Draining | Reason::RegionNotAllowed => {
+            retry_after::RefusalCause::Closed
+        }
         _ => retry_after::RefusalCause::Failure,
     };
     retry_after::find_retry_delay(cause, call.time_left(now), rand::random())
 }
 
+/// Rounds a delay up to what `Retry-After` can express, so that no caller comes back too early.
+fn round_up(delay: Duration) -> Duration {
+    let steps = delay.as_micros().div_ceil(RETRY_STEP.as_micros());
+    RETRY_STEP * u32::try_from(steps).unwrap_or(u32::MAX)
+}
+
 async fn admit(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Result<Call, Reason> {
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
@@ -174,6 +194,10 @@
         body,
         service,
         priority: Some(find_priority(route.priority, owner.as_ref())),
+        regions: owner.as_ref().map_or_else(
+            || route.regions.clone(),
+            |owner| route.regions.intersect(&owner.regions),
+        ),
         organisation: owner.map(|o| o.organisation),
         fingerprint: OnceLock::new(),
         route,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,8 +8,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use siskinbend_types::ServiceName;
 
+use super::fleet::ServiceState;
+use super::ignored_headers::IgnoredHeaders;
 use crate::metrics::RequestCounters;
 use crate::metrics::register;
 
@@ -24,22 +25,6 @@
     service: String,
 }
 
-/// Current state of one service, as shown by the gauges.
-#[derive(Debug)]
-pub(super) struct ServiceState {
-    pub service: ServiceName,
-    /// Number of known backend servers.
-    pub servers: usize,
-    /// Number of streams in flight.
-    pub running: u32,
-    /// Maximum number of streams in flight, if there is a limit.
-    pub limit: Option<u32>,
-    /// Age of the oldest load report in seconds.
-    pub report_age: f64,
-    /// Whether the group behind the service runs passes.
-    pub open: bool,
-}
-
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub(super) struct Metrics {
@@ -57,6 +42,12 @@
     pub gateways: Gauge,
     /// Backend servers that name a request limit.
     pub limited_servers: Gauge,
+    /// Backend servers that say that they are leaving.
+    pub leaving_servers: Gauge,
+    /// Backend servers that have asked for a pause.
+    pub paused_servers: Gauge,
+    /// Malformed headers of backend servers.
+    pub ignored_headers: IgnoredHeaders,
     /// Blocked parts of prompts.
     pub blocked_parts: Gauge,
     /// Blocked requests.
@@ -84,6 +75,9 @@
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
             gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
+            leaving_servers: register(all, "leaving_servers", "Servers that say that they leave"),
+            paused_servers: register(all, "paused_servers", "Servers that asked for a pause"),
+            ignored_headers: register(all, "ignored_headers", "Malformed headers of servers"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
             timeline: register(all, "store_timeline", "History of the store"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,11 +11,13 @@
 mod fleet;
 mod guards;
 mod handler;
+mod ignored_headers;
 mod loads;
 mod members;
 mod metrics;
 mod response;
 mod server;
+mod status;
 mod store_watch;
 mod stream;
 
@@ -39,6 +41,7 @@
 use tokio::sync::watch;
 
 use crate::clock::BootClock;
+use crate::clock::unix_millis;
 use crate::peer::PeerClient;
 use crate::platform;
 use crate::shutdown::Shutdown;
@@ -71,6 +74,8 @@
     settings: NodeSettings,
     adapter: PlatformAdapter,
     clock: BootClock,
+    /// Time of the start, in Unix milliseconds.
+    started_ms: u64,
     shutdown: Shutdown,
     metrics: Metrics,
     peers: PeerClient,
@@ -142,6 +147,10 @@
             let limits = fleet.server_limits();
             self.metrics.gateways.set(limits.count_gateways() as i64);
             self.metrics.limited_servers.set(limits.count() as i64);
+            let leaving = fleet.list_leaving(now).len();
+            self.metrics.leaving_servers.set(leaving as i64);
+            let paused = fleet.list_paused(now).len();
+            self.metrics.paused_servers.set(paused as i64);
             fleet.list_states(now)
         };
         self.metrics.update_gauges(version, age, &states);
@@ -182,6 +191,7 @@
         peers: PeerClient::new(settings.peers.port()),
         bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
         clock: BootClock,
+        started_ms: unix_millis(),
         metrics: Metrics::default(),
         crashes: Crashes::default(),
         shutdown,
@@ -194,6 +204,7 @@
             revocation_delay: settings.bounds.revoke,
         };
         shared.view().set_settings(view_settings);
+        shared.fleet().set_regions(&settings.regions);
     })
     .map_err(StartError::Signals)?;
     log::info!(
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +28,7 @@
 use super::handler::handle;
 use super::response::Body;
 use super::response::full_body;
+use super::status::read_status;
 use crate::listener;
 use crate::listener::ACCEPT_RETRY_DELAY;
 
@@ -41,6 +43,38 @@
 /// Minimum size of a connection's buffer that hyper allows.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Path of the status page on the metrics listener.
+const STATUS_PATH: &str = "/admin/status";
+const TEXT: &str = "text/plain; charset=utf-8";
+const JSON: &str = "application/json";
+
+/// Content of a page.
+struct Page {
+    status: StatusCode,
+    kind: &'static str,
+    text: String,
+}
+
+impl Page {
+    fn new<Failure>(kind: &'static str, content: Result<String, Failure>) -> Page
+    where
+        Failure: std::fmt::Display,
+    {
+        match content {
+            Ok(text) => Page {
+                status: StatusCode::OK,
+                kind,
+                text,
+            },
+            Err(error) => Page {
+                status: StatusCode::INTERNAL_SERVER_ERROR,
+                kind: TEXT,
+                text: error.to_string(),
+            },
+        }
+    }
+}
+
 /// Binds a listening socket.
 pub(super) async fn bind(
     name: &'static str,
@@ -146,40 +180,50 @@
     address: SocketAddr,
 ) -> Result<(), StartError> {
     let gateway = Arc::clone(gateway);
-    serve_page("readiness", address, move || match gateway.is_ready() {
-        true => (StatusCode::OK, "ready\n".to_owned()),
-        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+    serve_pages("readiness", address, move |_| {
+        let (status, text) = match gateway.is_ready() {
+            true => (StatusCode::OK, "ready\n"),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        };
+        Page {
+            status,
+            kind: TEXT,
+            text: text.to_owned(),
+        }
     })
     .await
 }
 
-/// Serves the metrics endpoint.
+/// Serves the status page, and the metrics at all other paths.
 pub(super) async fn serve_metrics(
     gateway: &Arc<Gateway>,
     address: SocketAddr,
 ) -> Result<(), StartError> {
     let gateway = Arc::clone(gateway);
-    serve_page("metrics", address, move || match gateway.render_metrics() {
-        Ok(text) => (StatusCode::OK, text),
-        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    serve_pages("metrics", address, move |path| match path {
+        STATUS_PATH => Page::new(JSON, serde_json::to_string(&read_status(&gateway))),
+        _ => Page::new(TEXT, gateway.render_metrics()),
     })
     .await
 }
 
-async fn serve_page<Page>(
+/// Serves the pages that `render` returns for each path.
+async fn serve_pages<Render>(
     name: &'static str,
     address: SocketAddr,
-    page: Page,
+    render: Render,
 ) -> Result<(), StartError>
 where
-    Page: Fn() -> (StatusCode, String) + Send + Sync + 'static,
+    Render: Fn(&str) -> Page + Send + Sync + 'static,
 {
     let listener = bind(name, address).await?;
-    let page = Arc::new(page);
-    let service = service_fn(move |_: Request<Incoming>| {
-        let (status, text) = page();
-        let mut response: Response<Body> = Response::new(full_body(text.into()));
-        *response.status_mut() = status;
+    let render = Arc::new(render);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let page = render(request.uri().path());
+        let mut response: Response<Body> = Response::new(full_body(page.text.into()));
+        *response.status_mut() = page.status;
+        let kind = HeaderValue::from_static(page.kind);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
         async move { Ok::<_, Infallible>(response) }
     });
     tokio::spawn(listener::serve(name, listener, service));
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -330,7 +330,8 @@
                     return Ok(());
                 }
                 Ok(mut pending) => {
-                    pending.attempt.finish(AttemptResult::Failed);
+                    let result = pending.error_result();
+                    pending.attempt.finish(result);
                     (pending.attempt.target.clone(), AttemptFailure::Failed)
                 }
                 Err(failed) => (failed.attempt.target.clone(), failed.failure),
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -133,16 +133,20 @@
 
     /// Waits until the metrics contain a line.
     pub async fn wait_for_metric(&self, line: &str) {
-        let started = Instant::now();
-        loop {
-            let caller = Caller::default();
-            let page = caller.call(self.metrics, "/metrics", "m").await.body;
-            if page.is_some_and(|text| text.lines().any(|l| l == line)) {
-                return;
-            }
-            assert!(started.elapsed() < EVENT_TIMEOUT, "no metric {line}");
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        wait_for_metric(self.metrics, line).await;
+    }
+}
+
+async fn wait_for_metric(metrics: SocketAddr, line: &str) {
+    let started = Instant::now();
+    loop {
+        let caller = Caller::default();
+        let page = caller.call(metrics, "/metrics", "m").await.body;
+        if page.is_some_and(|text| text.lines().any(|l| l == line)) {
+            return;
         }
+        assert!(started.elapsed() < EVENT_TIMEOUT, "no metric {line}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
 
@@ -177,6 +181,11 @@
         Caller::default().call(self.callers, path, id).await
     }
 
+    /// Waits until the metrics of the gateway contain a line.
+    pub async fn wait_for_metric(&self, line: &str) {
+        wait_for_metric(self.metrics, line).await;
+    }
+
     pub fn count_runs(&self, id: &str) -> u32 {
         let replicas = self
             .site
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -300,6 +300,8 @@
     deployment.call("/draft/x/", "m2").await;
     for replica in &deployment.site.plain_replicas {
         replica.overloaded.store(true, Ordering::Relaxed);
+        // Malformed, so that the header is counted as ignored.
+        replica.signals.set_leaving(Some("maybe"));
     }
     deployment.call("/book/x/", "m3").await;
     let page = Caller::default()
--- a/tests/integration/restored_view.rs
+++ b/tests/integration/restored_view.rs
@@ -15,6 +15,7 @@
 use siskinbend_site::registry::ServerUpdate;
 use siskinbend_site::source::ServerChange;
 use siskinbend_site::view::Settings;
+use siskinbend_types::RegionSet;
 use siskinbend_types::Timeline;
 use siskinbend_types::Version;
 
@@ -46,6 +47,7 @@
         max_attempts: 1,
         priority: 0,
         public: true,
+        regions: RegionSet::default(),
     };
     let config = Config::new(Version(version), vec![route]);
     // The same change for all, as for a configuration that the copy contains.
