--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -27,6 +27,7 @@
 pub use evacuation::ZoneStatus;
 pub use headers::ForwardHead;
 pub use headers::HeaderCodec;
+pub use headers::IgnoredHeader;
 pub use headers::RequestHead;
 pub use headers::ResponseHead;
 pub use membership::Member;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,6 +1,8 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
 mod overload;
+mod signals;
+mod state;
 mod zones;
 
 use std::collections::BTreeMap;
@@ -23,10 +25,12 @@
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
 use siskinbend_routing::Observation;
+use siskinbend_routing::Pauses;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
+use siskinbend_routing::Withdrawals;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_routing::send_rules;
@@ -38,18 +42,24 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
-use siskinbend_types::Rate;
 use siskinbend_types::Reason;
+use siskinbend_types::RegionSet;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use siskinbend_types::Window;
 use siskinbend_types::Zone;
+use siskinbend_types::ZoneRegions;
 use smol_str::SmolStr;
 
 use super::guards::AdmissionPermit;
-use super::metrics::ServiceState;
 use zones::Zones;
 
+pub(super) use state::GroupState;
+pub(super) use state::LeavingServer;
+pub(super) use state::LimitedServer;
+pub(super) use state::PausedServer;
+pub(super) use state::ServiceState;
+
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
 /// are.
@@ -126,6 +136,7 @@
 /// State of all backend servers and services.
 pub(super) struct Fleet {
     zone: Zone,
+    regions: ZoneRegions,
     bounds: Bounds,
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
@@ -137,16 +148,27 @@
     pub fn new(settings: &NodeSettings) -> Fleet {
         Fleet {
             zone: settings.zone.clone(),
+            regions: settings.regions.clone(),
             bounds: settings.bounds,
             services: HashMap::new(),
             replicas: BTreeMap::new(),
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
+                pauses: Pauses::default(),
+                withdrawals: Withdrawals::default(),
             },
             zones: Zones::default(),
         }
     }
 
+    /// Sets the regions of the availability zones.
+    pub fn set_regions(&mut self, regions: &ZoneRegions) {
+        self.regions = regions.clone();
+        for routing in self.services.values_mut() {
+            routing.picker.set_regions(regions.clone());
+        }
+    }
+
     /// Applies changes of the registry.
     pub fn apply(&mut self, updates: Vec<ServerUpdate>, now: Time) {
         for update in updates {
@@ -196,6 +218,7 @@
                 self.replicas.insert(id.clone(), replica);
             }
         }
+        self.observe_run(&id, now);
         self.record_load(&id, None, now);
     }
 
@@ -264,30 +287,6 @@
         self.service(&service).picker.observe(id, observation, now);
     }
 
-    /// Records the limit that an answer to an attempt names, or that it names none.
-    pub fn record_server_limit(
-        &mut self,
-        target: &Target,
-        limit: Option<Rate>,
-        sent_at: Time,
-        now: Time,
-    ) {
-        let change = self
-            .rules
-            .limits
-            .record_answer(&target.id, limit, sent_at, now);
-        if let Some(change) = change {
-            let text = |rate: Option<Rate>| rate.map_or("none".to_owned(), |r| r.to_string());
-            log::info!(
-                server:% = target.id,
-                service:% = target.service,
-                limit = text(change.limit),
-                previous = text(change.previous);
-                "server_limit_changed"
-            );
-        }
-    }
-
     /// Sets the gateways that share the limits of backend servers. Returns their number before and
     /// now.
     pub fn set_gateways(
@@ -311,8 +310,10 @@
     pub fn refresh(&mut self, now: Time) {
         let ids: Vec<AgentId> = self.replicas.keys().cloned().collect();
         for id in ids {
+            self.observe_run(&id, now);
             self.record_load(&id, None, now);
         }
+        self.expire_signals(now);
         for replica in self.replicas.values_mut() {
             replica.pool.prune();
         }
@@ -329,8 +330,10 @@
                 ..picker::Settings::default()
             };
             let ratio = self.bounds.retry_ratio * RETRY_RATIO_FRACTION;
+            let mut picker = Picker::new(settings, self.zone.clone());
+            picker.set_regions(self.regions.clone());
             let routing = ServiceRouting {
-                picker: Picker::new(settings, self.zone.clone()),
+                picker,
                 budget: RetryBudget::new(RETRY_BURST.min(self.bounds.retry_slack))
                     .with_ratio(ratio),
                 liveness: LivenessTracker::default(),
@@ -353,6 +356,7 @@
         &mut self,
         service: &ServiceName,
         avoid: &[AgentId],
+        regions: &RegionSet,
         permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
@@ -376,6 +380,7 @@
             avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
             closed_groups,
             closed_zones,
+            regions: regions.clone(),
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
@@ -397,10 +402,7 @@
                 let choice = picker.choose(&requirements, now, &mut rand::rng());
                 choice.is_ok()
             });
-            cause.unwrap_or(match is_limited {
-                true => Reason::ShareExceeded,
-                false => reason,
-            })
+            signals::find_reason(reason, cause, is_limited)
         })?;
         picker.record_dispatch(&choice.agent, now);
         self.rules.record_dispatch(&choice.agent, now);
@@ -565,24 +567,6 @@
         }
     }
 
-    /// Describes each service for the metrics.
-    pub fn list_states(&self, now: Time) -> Vec<ServiceState> {
-        let describe = |(service, routing): (&ServiceName, &ServiceRouting)| {
-            let is_own = |p: &&Replica| &p.server.service == service;
-            let replicas = || self.replicas.values().filter(is_own);
-            let ages = replicas().map(|p| now.since(p.reported_at).as_secs_f64());
-            ServiceState {
-                service: service.clone(),
-                servers: replicas().count(),
-                running: routing.limits.in_flight(),
-                limit: routing.limits.total_limit(),
-                report_age: ages.fold(0.0, f64::max),
-                open: routing.list_closed(now).is_empty(),
-            }
-        };
-        self.services.iter().map(describe).collect()
-    }
-
     /// Ends the permit of a request for a service.
     pub fn release(&mut self, service: &ServiceName, permit: &mut AdmissionPermit) {
         self.service(service).release(permit);
