Keep the limit of a group through a standstill

Cause: after a group stood still for a second, the streams that it held up were late, and each gateway took that for overload: its limit fell and it refused requests while answers were well within their goal again.

Change: each group's limit tracks standstills, from reports that the group is closed and from half a second without data of any stream. Answers and pauses that a standstill or the half second after it covers are not evaluated, a decrease from shortly before is undone, and the requests that piled up are admitted beyond the limit for three seconds. The limit code of the fleet has its own file. Line group_standstill, counter siskinbend_group_standstills_total.

Ruled out: reports alone, as they come every 300 ms and not at all from a frozen leader; silences alone without a distance, as passes that are all slow would never count as overload.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod send_rules;
 pub mod server_limits;
 pub mod slowdown;
+pub mod standstill;
 pub mod subset;
 
 pub use admission::Dequeued;
@@ -44,3 +45,4 @@
 pub use send_rules::SendRule;
 pub use send_rules::SendRules;
 pub use server_limits::ServerLimits;
+pub use standstill::Standstill;
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -8,6 +8,16 @@
 
 use siskinbend_types::Time;
 
+use crate::Standstill;
+use crate::standstill::StandstillTracker;
+
+/// Time before the first report of a standstill in which it may already have begun: groups are asked
+/// for their state every 300 ms.
+const REPORT_DELAY: Duration = Duration::from_millis(400);
+/// Time for which the requests that a standstill held up are admitted beyond the limit, so that they
+/// take no place of requests that arrive after it.
+const ALLOWANCE_TIME: Duration = Duration::from_secs(3);
+
 /// Parameters of the limit.
 #[derive(Debug, Clone, Copy)]
 pub struct Settings {
@@ -71,6 +81,14 @@
     limit: Option<f64>,
     window_start: Time,
     last_decrease: Time,
+    /// The limit before the last decrease.
+    limit_before: Option<f64>,
+    standstills: StandstillTracker,
+    /// Number of requests in flight at the latest data of the group.
+    running_at_data: u32,
+    /// Number of requests beyond the limit that a standstill held up, and until when they are
+    /// allowed.
+    allowance: (u32, Time),
     answers: u32,
     late_answers: u32,
     /// Sum of the answer times, each as a multiple of its goal.
@@ -104,7 +122,40 @@
     /// Whether as many requests are in flight as the limit allows.
     pub fn is_reached(&self) -> bool {
         self.limit
-            .is_some_and(|limit| f64::from(self.in_flight) >= limit)
+            .is_some_and(|limit| f64::from(self.in_flight) >= limit + f64::from(self.allowance.0))
+    }
+
+    /// Records whether the group is open. Returns the standstill that ended.
+    pub fn record_state(&mut self, is_open: bool, now: Time) -> Option<Standstill> {
+        let ended = self.standstills.record_state(is_open, now);
+        ended.inspect(|standstill| self.restore(standstill, now))
+    }
+
+    /// Records data of a stream that had waited for it since `waiting_since`, before the data is
+    /// evaluated. Returns the standstill that ended.
+    pub fn record_data(&mut self, waiting_since: Time, now: Time) -> Option<Standstill> {
+        if now >= self.allowance.1 {
+            self.allowance = (0, now);
+        }
+        let ended = self.standstills.record_data(waiting_since, now);
+        if let Some(standstill) = &ended {
+            self.restore(standstill, now);
+        }
+        if !self.standstills.is_closed() {
+            self.running_at_data = self.in_flight;
+        }
+        ended
+    }
+
+    /// Restores the limit from before a standstill.
+    fn restore(&mut self, standstill: &Standstill, now: Time) {
+        if self.limit.is_some() && self.last_decrease + REPORT_DELAY > standstill.since {
+            self.limit = self.limit_before;
+        }
+        let held = self.in_flight.saturating_sub(self.running_at_data);
+        if held > 0 {
+            self.allowance = (held, now + ALLOWANCE_TIME);
+        }
     }
 
     /// Counts a request regardless of the limit until [`ConcurrencyLimit::release`].
@@ -122,11 +173,11 @@
     /// the arrival of its request.
     ///
     /// Requests that arrived before the last decrease are ignored, because they ran under the
-    /// earlier limit.
+    /// earlier limit, and so are requests that a standstill of the group held up.
     ///
     /// Returns the measurements of the window if the limit changed.
     pub fn record_answer(&mut self, ratio: f64, received: Time, now: Time) -> Option<LimitChange> {
-        if received < self.last_decrease {
+        if received < self.last_decrease || self.standstills.is_affected(received) {
             return None;
         }
         self.answers += 1;
@@ -153,8 +204,11 @@
         (change.limit != before).then_some(change)
     }
 
-    /// Records a pause within an answer.
-    pub fn record_pause(&mut self, is_late: bool) {
+    /// Records a pause within an answer that began at `since`; one in a standstill is ignored.
+    pub fn record_pause(&mut self, is_late: bool, since: Time) {
+        if self.standstills.is_affected(since) {
+            return;
+        }
         self.pauses += 1;
         self.late_pauses += u32::from(is_late);
     }
@@ -175,6 +229,7 @@
         if window.late_share > settings.max_late_share
             || window.late_pause_share > settings.max_late_pause_share
         {
+            self.limit_before = self.limit;
             let limit = self.limit.unwrap_or(peak).min(peak);
             let (largest, smallest) = settings.decrease;
             let factor = (1.0 / mean.max(f64::MIN_POSITIVE)).clamp(smallest, largest);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,5 +1,7 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
+mod limits;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -15,7 +17,6 @@
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::AttemptResult;
-use siskinbend_routing::ConcurrencyLimit;
 use siskinbend_routing::GroupLimits;
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
@@ -27,6 +28,7 @@
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_routing::send_rules;
+use siskinbend_routing::standstill::CLOSED_TTL;
 use siskinbend_site::BackendServer;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::ServerState;
@@ -46,6 +48,8 @@
 use super::guards::AdmissionPermit;
 use super::metrics::ServiceState;
 
+pub(super) use limits::StreamTiming;
+
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
 /// are.
@@ -53,8 +57,6 @@
 /// Fraction of the operators' retry ratio that is used, so that the ratio holds in measurement
 /// windows of any phase.
 const RETRY_RATIO_FRACTION: f64 = 0.7;
-/// Time for which a group counts as closed after its last report of being closed.
-const CLOSED_TTL: Duration = Duration::from_millis(800);
 /// Number of randomly sampled replicas that are compared. With a larger sample, gateways with the
 /// same load reports would choose the same replica.
 const SAMPLE_SIZE: usize = 4;
@@ -126,6 +128,8 @@
     services: HashMap<ServiceName, ServiceRouting>,
     replicas: BTreeMap<AgentId, Replica>,
     rules: SendRules,
+    /// Number of standstills of groups since the start.
+    standstills: u64,
 }
 
 impl Fleet {
@@ -138,6 +142,7 @@
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
             },
+            standstills: 0,
         }
     }
 
@@ -483,11 +488,6 @@
         routing.map_or_else(Vec::new, |r| r.directory.list_load_sources(&self.zone))
     }
 
-    /// Returns the concurrency limit of the group of a target.
-    pub fn concurrency_limit(&mut self, target: &Target) -> &mut ConcurrencyLimit {
-        self.service(&target.service).limits.of_group(&target.group)
-    }
-
     /// Records the loads of a group.
     pub fn record_loads(&mut self, loads: &GroupLoads, now: Time) {
         let ids: HashMap<SocketAddr, AgentId> = self
@@ -522,25 +522,6 @@
         }
     }
 
-    fn set_group_state(
-        &mut self,
-        service: &ServiceName,
-        group: &EngineGroup,
-        open: bool,
-        now: Time,
-    ) {
-        let closed = &mut self.service(service).closed;
-        let was_open = !closed.contains_key(group);
-        if open {
-            closed.remove(group);
-        } else {
-            closed.insert(group.clone(), now);
-        }
-        if open != was_open {
-            log::info!(service:% = service, group:% = group, open; "group_state");
-        }
-    }
-
     /// Describes each service for the metrics.
     pub fn list_states(&self, now: Time) -> Vec<ServiceState> {
         let describe = |(service, routing): (&ServiceName, &ServiceRouting)| {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -61,6 +61,8 @@
     pub blocked_parts: Gauge,
     /// Blocked requests.
     pub blocked_requests: Gauge,
+    /// Standstills of groups.
+    pub standstills: Counter,
     /// History of the store.
     pub timeline: Gauge,
     config_version: Gauge,
@@ -86,6 +88,7 @@
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
+            standstills: register(all, "group_standstills", "Standstills of groups"),
             timeline: register(all, "store_timeline", "History of the store"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,6 +32,7 @@
 use super::attempt::wait_until_stalled;
 use super::buffered;
 use super::crashes;
+use super::fleet::StreamTiming;
 use super::fleet::Target;
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
@@ -243,34 +244,28 @@
     /// Records in the concurrency limit and the metrics whether the data arrived in time.
     fn record_latency(&mut self, now: Time) {
         let route = &self.call.route;
-        let mut fleet = self.gateway.fleet();
-        let limit = fleet.concurrency_limit(&self.attempt.target);
-        match self.last_data_at.replace(now) {
+        let received_at = self.call.received_at;
+        let timing = match self.last_data_at.replace(now) {
             None => {
                 let goal = route.latency_goal.mul_f64(GOAL_FRACTION).as_secs_f64();
-                let took = now.since(self.call.received_at).as_secs_f64();
+                let took = now.since(received_at).as_secs_f64();
                 self.gateway.metrics.first_event.observe(took);
-                let goal_ratio = took / goal.max(f64::MIN_POSITIVE);
-                if let Some(change) = limit.record_answer(goal_ratio, self.call.received_at, now) {
-                    log::info!(
-                        service:% = self.call.service,
-                        group:% = self.attempt.target.group.as_ref().map(ToString::to_string).unwrap_or_default(),
-                        most = change.limit.unwrap_or(0),
-                        peak = change.peak,
-                        late = format!("{:.2}", change.late_share),
-                        paused = format!("{:.3}", change.late_pause_share),
-                        mean = format!("{:.2}", change.mean_ratio);
-                        "limit_changed"
-                    );
+                StreamTiming::First {
+                    goal_ratio: took / goal.max(f64::MIN_POSITIVE),
+                    received_at,
                 }
             }
             Some(previous) => {
                 let gap = now.since(previous);
                 self.gateway.metrics.event_gap.observe(gap.as_secs_f64());
-                let late = route.event_gap.is_some_and(|target| gap > target);
-                limit.record_pause(late);
+                StreamTiming::Next {
+                    is_late: route.event_gap.is_some_and(|target| gap > target),
+                    previous,
+                }
             }
-        }
+        };
+        let mut fleet = self.gateway.fleet();
+        fleet.record_timing(&self.attempt.target, self.attempt.sent_at, timing, now);
     }
 
     fn finish(&mut self) {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod group_choice;
 mod group_directory;
 mod group_shell;
+mod group_standstill;
 mod half_cut_link;
 mod history;
 mod key_rotation;
