Tell refused callers a time at which there is capacity

Cause: a refused stream was told a random time of 0.8 to 2.4 s. Callers came back when there was no capacity, were refused again and late in any case.

Change: each gateway keeps a calendar of 100 ms slots for each service, filled up to half the rate at which it admitted streams in the last 2 s. A refused stream gets the earliest free slot from 150 ms ahead, within 0.3 of its time and before it could no longer start. Log keys retry_ms and route of request_refused, counters siskinbend_booked_returns_total and siskinbend_unbooked_returns_total.

Ruled out: booking against the rate of all gateways, as callers may return through another one; telling callers without a slot a later time than 0.3 of theirs, as such callers do not return or all cut their wait to the same moment.

Conclusion: replays of 400 callers at 3, 50 and 400 requests a second fill no slot above its capacity; without a known rate the spread is as before.

--- a/crates/request/src/retry_after.rs
+++ b/crates/request/src/retry_after.rs
@@ -30,13 +30,18 @@
     }
 }
 
+/// Longest delay that a caller is told, for a request with the time `remaining` until its deadline.
+pub fn max_retry_delay(remaining: Duration) -> Duration {
+    remaining.mul_f64(MAX_DELAY_SHARE)
+}
+
 /// Delay after which the caller should retry, for a request with the time `remaining` until its
 /// deadline. `draw` is a random number that spreads the retries.
 pub fn find_retry_delay(cause: RefusalCause, remaining: Duration, draw: u32) -> Duration {
     let (shortest, longest) = cause.delay_range();
     let position = f64::from(draw) / f64::from(u32::MAX);
     let delay = shortest + (longest - shortest).mul_f64(position);
-    let max_delay = remaining.mul_f64(MAX_DELAY_SHARE);
+    let max_delay = max_retry_delay(remaining);
     if delay <= max_delay {
         return delay;
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -23,6 +23,7 @@
 use siskinbend_routing::Observation;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
+use siskinbend_routing::ReturnCalendar;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
 use siskinbend_routing::picker;
@@ -71,6 +72,7 @@
     directory: Directory,
     /// Groups that were closed according to their latest loads, with the time of these.
     closed: BTreeMap<EngineGroup, Time>,
+    returns: ReturnCalendar,
 }
 
 impl ServiceRouting {
@@ -336,6 +338,7 @@
                 limits: GroupLimits::default(),
                 directory: Directory::default(),
                 closed: BTreeMap::new(),
+                returns: ReturnCalendar::default(),
             };
             self.services.insert(name.clone(), routing);
         }
--- a/src/gateway/fleet/limits.rs
+++ b/src/gateway/fleet/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use siskinbend_routing::ReturnCalendar;
 use siskinbend_routing::Standstill;
 use siskinbend_routing::limit::LimitChange;
 use siskinbend_types::EngineGroup;
@@ -79,6 +80,11 @@
         self.record_standstill(service, Some(group), standstill);
     }
 
+    /// Returns the calendar of the callers of a service that are expected to come back.
+    pub fn returns(&mut self, service: &ServiceName) -> &mut ReturnCalendar {
+        &mut self.service(service).returns
+    }
+
     /// Number of standstills of groups since the start.
     pub fn standstills(&self) -> u64 {
         self.standstills
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -27,6 +27,7 @@
 use super::buffered;
 use super::response::Body;
 use super::response::problem_response;
+use super::returns;
 use super::stream;
 
 /// Retry delay for callers whose request cannot be checked because the configuration is missing or
@@ -75,13 +76,17 @@
         NextStep::Retry | NextStep::ForwardFailure => (Reason::BackendFailed, Outcome::Unknown),
     };
     let now = gateway.now();
+    let retry_delay =
+        (outcome == Outcome::NotRun).then(|| find_retry_delay(gateway, call, reason, now));
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
+        route:% = call.route.prefix,
         reason:% = reason,
         outcome:% = outcome,
         waited_ms = now.since(call.received_at).as_millis() as u64,
-        left_ms = call.time_left(now).as_millis() as u64;
+        left_ms = call.time_left(now).as_millis() as u64,
+        retry_ms = retry_delay.map_or(0, |d| d.as_millis() as u64);
         "request_refused"
     );
     gateway.metrics.requests.record_refusal(reason);
@@ -89,8 +94,6 @@
         .metrics
         .requests
         .record_request(call.service.as_str(), outcome);
-    let retry_delay =
-        (outcome == Outcome::NotRun).then(|| find_retry_delay(gateway, call, reason, now));
     problem_response(reason, outcome, retry_delay)
 }
 
@@ -99,6 +102,9 @@
     if let Some((_, blocked_for)) = gateway.crashes.find_blocked(call, now) {
         return blocked_for;
     }
+    if let Some(delay) = returns::book(gateway, call, reason, now) {
+        return delay;
+    }
     let cause = match reason {
         Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit => {
             retry_after::RefusalCause::Overloaded
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -63,6 +63,10 @@
     pub blocked_requests: Gauge,
     /// Standstills of groups.
     pub standstills: Counter,
+    /// Refused streams whose callers were given a time with capacity.
+    pub booked_returns: Counter,
+    /// Refused streams whose callers were given a random time, because none had capacity.
+    pub unbooked_returns: Counter,
     /// History of the store.
     pub timeline: Gauge,
     config_version: Gauge,
@@ -89,6 +93,8 @@
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
             standstills: register(all, "group_standstills", "Standstills of groups"),
+            booked_returns: register(all, "booked_returns", "Refusals with a booked time"),
+            unbooked_returns: register(all, "unbooked_returns", "Refusals without a booked time"),
             timeline: register(all, "store_timeline", "History of the store"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod members;
 mod metrics;
 mod response;
+mod returns;
 mod server;
 mod store_watch;
 mod stream;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -38,6 +38,7 @@
 use super::guards::AttemptGuard;
 use super::handler::refuse;
 use super::response::Body;
+use super::returns;
 
 /// Fraction of the latency goal within which the first event must arrive to count as in time. The
 /// rest is left for the round trip to the caller.
@@ -101,6 +102,7 @@
             }
         }
     };
+    returns::record_admission(gateway, &call);
     relay(gateway, call, attempts, pending, permit)
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -56,6 +56,7 @@
 mod restored_store;
 mod restored_view;
 mod resumption;
+mod return_times;
 mod rollout;
 mod sample;
 mod server_limits;
