Let streams wait for a place under the limit, fairly and by urgency

Cause: a stream that found the limits of all groups reached was refused at once, whatever its urgency, and kinds with a long goal took the places that became free, so that the most urgent kind was served worst.

Change: gateways use the agents' queue. A stream waits if its predicted start is within a quarter of its latency goal, and no longer. The queue has ten classes, a latest start apart from the deadline, displacement within an organisation, a floor for less urgent classes and places that these leave to more urgent ones. A freed place wakes the next stream and is reserved until a server is chosen. When all groups of a service close, its waiting streams are refused with the reason of the choice. Reason displaced, lines request_waited and request_displaced, keys organisation, priority, limit and predicted_ms of request_refused, gauge siskinbend_waiting_requests, histogram siskinbend_wait_seconds. Agents use three of the classes and have no floor; their order is as before.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -1,10 +1,12 @@
-//! The agent's bounded queue, fair between organisations.
+//! The bounded queue of an agent or a gateway, fair between organisations.
 //!
 //! Start-time fair queueing shares the slots between organisations. Within an organisation the most
 //! urgent request goes first. Between organisations a higher priority is worth a head start of only
 //! a few requests, so an organisation can't take service from others by marking all its requests as
 //! interactive.
 
+mod limited;
+
 use std::time::Duration;
 
 use siskinbend_types::Organisation;
@@ -13,9 +15,14 @@
 use siskinbend_types::Time;
 
 use crate::LoadReport;
+use crate::organisation_queue::Order;
 use crate::organisation_queue::OrganisationQueue;
 use crate::organisation_queue::Waiter;
 
+pub use limited::Enqueued;
+pub use limited::Rejected;
+pub use limited::StartInfo;
+
 /// Weight of a new sample in the smoothed hold time and cost.
 const SMOOTHING: f64 = 0.05;
 /// An organisation without requests for this long no longer counts as active.
@@ -49,6 +56,9 @@
     pub weights: Vec<Weight>,
     /// Waiting time after which a request rises by one priority.
     pub ageing_interval: Duration,
+    /// Part of its share of the started requests that a less urgent class of an organisation gets at
+    /// least; 0 for none.
+    pub class_floor: f64,
 }
 
 impl Default for Settings {
@@ -59,6 +69,18 @@
             max_queued: 64,
             weights: Vec::new(),
             ageing_interval: Duration::from_secs(2),
+            class_floor: 0.0,
+        }
+    }
+}
+
+impl Settings {
+    /// Limits of a gateway's queue, in which requests wait for some 100 ms only.
+    pub fn for_gateway() -> Settings {
+        Settings {
+            ageing_interval: Duration::from_millis(200),
+            class_floor: 0.25,
+            ..Settings::default()
         }
     }
 }
@@ -189,10 +211,16 @@
             id,
             item,
             deadline,
+            latest_start: None,
             cost,
             enqueued: now,
         };
-        self.organisations[own].push(priority, waiter, virtual_time);
+        let class = match priority {
+            Priority::Interactive => 0,
+            Priority::Normal => 1,
+            Priority::Batch => 2,
+        };
+        self.organisations[own].push(class, waiter, virtual_time);
         assert!(
             self.queued() <= self.settings.max_queued,
             "queue exceeds its limit of {} requests after request {id}",
@@ -216,16 +244,25 @@
         };
         let mut late = Vec::new();
         for own in &mut self.organisations {
-            own.remove_late(now + margin, &mut late);
+            own.remove_late(now + margin, now, &mut late);
         }
-        let Some(next) = self.find_next(now) else {
-            return Dequeued { ready: None, late };
-        };
+        let free = self.settings.slots.saturating_sub(self.running);
+        let next = self.find_next(free, now);
+        let ready = next.and_then(|next| self.take(next, free, now));
+        assert!(
+            ready.is_none() || self.running <= self.settings.slots,
+            "{} requests run in {} slots",
+            self.running,
+            self.settings.slots
+        );
+        Dequeued { ready, late }
+    }
+
+    /// Removes the next request of an organisation, which takes a slot.
+    fn take(&mut self, next: usize, free: u32, now: Time) -> Option<ReadyRequest<T>> {
         let virtual_time = self.virtual_time.max(self.organisations[next].start_tag);
-        let Some((waiter, _)) = self.organisations[next].pop(now, self.settings.ageing_interval)
-        else {
-            return Dequeued { ready: None, late };
-        };
+        let order = self.order(free);
+        let (waiter, _) = self.organisations[next].pop(now, order)?;
         self.virtual_time = virtual_time;
         let mean_hold = self.mean_hold;
         self.organisations[next].charge(waiter.cost, mean_hold, now);
@@ -233,21 +270,21 @@
             self.last_progress = now;
         }
         self.running += 1;
-        assert!(
-            self.running <= self.settings.slots,
-            "{} requests run in {} slots",
-            self.running,
-            self.settings.slots
-        );
-        let organisation = self.organisations[next].organisation.clone();
-        let ready = ReadyRequest {
+        Some(ReadyRequest {
             item: waiter.item,
-            organisation,
+            organisation: self.organisations[next].organisation.clone(),
             waited: now.since(waiter.enqueued),
-        };
-        Dequeued {
-            ready: Some(ready),
-            late,
+        })
+    }
+
+    fn order(&self, free: u32) -> Order {
+        Order {
+            free,
+            reserve: self.urgent_reserve(),
+            slots: self.settings.slots,
+            mean_hold: self.mean_hold,
+            ageing_interval: self.settings.ageing_interval,
+            class_floor: self.settings.class_floor,
         }
     }
 
@@ -345,13 +382,12 @@
     }
 
     /// Returns the index of the organisation whose request is dequeued next, if a slot is free.
-    fn find_next(&self, now: Time) -> Option<usize> {
-        let free = self.settings.slots.saturating_sub(self.running);
+    fn find_next(&self, free: u32, now: Time) -> Option<usize> {
         if free == 0 {
             return None;
         }
         let key = |own: &OrganisationQueue<T>| {
-            let class = own.next_class(now, self.settings.ageing_interval)?;
+            let class = own.next_class(now, self.order(free))?;
             // The penalty for a low priority applies only above the share of the slots: below it an
             // organisation is owed service whatever its priority.
             let class = if self.is_above_share(own) { class } else { 0 };
--- a/crates/routing/src/group_limits.rs
+++ b/crates/routing/src/group_limits.rs
@@ -8,6 +8,7 @@
 use siskinbend_types::EngineGroup;
 
 use crate::ConcurrencyLimit;
+use crate::Picker;
 
 /// Utilisation of a group's slots from which its concurrency limit is enforced. While slots are
 /// free, late responses have other causes than overload.
@@ -33,6 +34,31 @@
         full.map(|(group, _)| group.clone()).collect()
     }
 
+    /// Number of requests that the usable groups of a picker may be sent, [`u32::MAX`] if one of
+    /// them has no limit or free slots; `None` if all groups are closed.
+    pub fn count_free(&self, picker: &Picker, closed: &[Option<EngineGroup>]) -> Option<u32> {
+        let mut seen: Vec<&Option<EngineGroup>> = Vec::new();
+        let mut free: Option<u32> = None;
+        for group in picker.list_groups() {
+            if seen.contains(&group) || closed.contains(group) {
+                continue;
+            }
+            seen.push(group);
+            let limit = self
+                .limits
+                .get(group)
+                .and_then(ConcurrencyLimit::count_free);
+            let Some(count) = limit else {
+                return Some(u32::MAX);
+            };
+            if picker.estimate_load(group.as_ref()) < BUSY_UTILISATION {
+                return Some(u32::MAX);
+            }
+            free = Some(free.unwrap_or(0).saturating_add(count));
+        }
+        free
+    }
+
     /// Returns the limit of a group.
     pub fn of_group(&mut self, group: &Option<EngineGroup>) -> &mut ConcurrencyLimit {
         self.limits.entry(group.clone()).or_default()
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -125,6 +125,12 @@
             .is_some_and(|limit| f64::from(self.in_flight) >= limit + f64::from(self.allowance.0))
     }
 
+    /// Number of requests that may be admitted; `None` without a limit.
+    pub fn count_free(&self) -> Option<u32> {
+        let limit = self.limit? + f64::from(self.allowance.0);
+        Some((limit.ceil() as u32).saturating_sub(self.in_flight))
+    }
+
     /// Records whether the group is open. Returns the standstill that ended.
     pub fn record_state(&mut self, is_open: bool, now: Time) -> Option<Standstill> {
         let ended = self.standstills.record_state(is_open, now);
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -207,6 +207,12 @@
         self.replicas.get(agent)?.group.as_ref()
     }
 
+    /// Returns the lock-step group of each replica that does not drain; groups occur repeatedly.
+    pub fn list_groups(&self) -> impl Iterator<Item = &Option<EngineGroup>> {
+        let active = self.replicas.values().filter(|r| !r.draining);
+        active.map(|r| &r.group)
+    }
+
     /// Removes a replica.
     pub fn remove(&mut self, agent: &AgentId) {
         self.replicas.remove(agent);
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -143,6 +143,8 @@
     ServersPaused => "servers_paused", 503, "All replicas have asked for a pause.";
     /// No replica is in a region that the route and the organisation allow.
     RegionNotAllowed => "region_not_allowed", 503, "No replica is in a region that may serve the request.";
+    /// A more urgent request took its place in the queue.
+    Displaced => "displaced", 429, "A more urgent request took the place in the queue.";
 }
 
 impl fmt::Display for Reason {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -65,6 +65,8 @@
     pub priority: Option<u8>,
     /// Computed when it is first needed.
     pub fingerprint: OnceLock<RequestFingerprint>,
+    /// Predicted time until the start when the limit was reached.
+    pub predicted_wait: OnceLock<Duration>,
     /// Version of the configuration with which the request was admitted.
     pub version: Version,
     pub received_at: Time,
@@ -126,6 +128,16 @@
         *self.fingerprint.get_or_init(compute)
     }
 
+    /// Records the predicted time until the start of a request that finds the limit reached.
+    pub fn set_predicted(&self, predicted: Duration) {
+        self.predicted_wait.get_or_init(|| predicted);
+    }
+
+    /// Returns the predicted time until the start; zero if the limit was not reached.
+    pub fn predicted(&self) -> Duration {
+        self.predicted_wait.get().copied().unwrap_or_default()
+    }
+
     fn build_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
 mod limits;
+mod queue;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -50,6 +51,8 @@
 use super::metrics::ServiceState;
 
 pub(super) use limits::StreamTiming;
+pub(super) use queue::Admission;
+pub(super) use queue::StartedRequest;
 
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
@@ -73,6 +76,7 @@
     /// Groups that were closed according to their latest loads, with the time of these.
     closed: BTreeMap<EngineGroup, Time>,
     returns: ReturnCalendar,
+    streams: queue::StreamQueue,
 }
 
 impl ServiceRouting {
@@ -86,6 +90,7 @@
     /// Counts an admitted request against the limit of another group than before.
     fn move_permit(&mut self, permit: &mut AdmissionPermit, group: &Option<EngineGroup>) {
         self.release(permit);
+        self.streams.confirm(permit);
         self.limits.of_group(group).acquire();
         permit.counted = Some(group.clone());
     }
@@ -339,6 +344,7 @@
                 directory: Directory::default(),
                 closed: BTreeMap::new(),
                 returns: ReturnCalendar::default(),
+                streams: queue::StreamQueue::default(),
             };
             self.services.insert(name.clone(), routing);
         }
@@ -536,6 +542,7 @@
                 servers: replicas().count(),
                 running: routing.limits.in_flight(),
                 limit: routing.limits.total_limit(),
+                waiting: routing.streams.waiting(),
                 report_age: ages.fold(0.0, f64::max),
                 open: routing.list_closed(now).is_empty(),
             }
@@ -543,11 +550,6 @@
         self.services.iter().map(describe).collect()
     }
 
-    /// Ends the permit of a request for a service.
-    pub fn release(&mut self, service: &ServiceName, permit: &mut AdmissionPermit) {
-        self.service(service).release(permit);
-    }
-
     /// Returns the retry budget of a service.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         &mut self.service(service).budget
--- a/src/gateway/fleet/limits.rs
+++ b/src/gateway/fleet/limits.rs
@@ -78,6 +78,7 @@
             log::info!(service:% = service, group:% = group, open; "group_state");
         }
         self.record_standstill(service, Some(group), standstill);
+        self.recheck_waiting(service, now);
     }
 
     /// Returns the calendar of the callers of a service that are expected to come back.
--- a/src/gateway/guards.rs
+++ b/src/gateway/guards.rs
@@ -9,6 +9,7 @@
 use siskinbend_types::Time;
 
 use super::Gateway;
+use super::fleet::StartedRequest;
 use super::fleet::Target;
 
 /// Permit of a request, which counts against the concurrency limit of the group that runs it until
@@ -18,6 +19,8 @@
     service: ServiceName,
     /// Group against whose limit the request counts, if it counts.
     pub counted: Option<Option<EngineGroup>>,
+    /// Place in the fairness between organisations, if the service has a limit.
+    pub started: Option<StartedRequest>,
 }
 
 impl AdmissionPermit {
@@ -27,6 +30,7 @@
             gateway: Arc::downgrade(gateway),
             service: service.clone(),
             counted: None,
+            started: None,
         }
     }
 }
@@ -35,7 +39,8 @@
     fn drop(&mut self) {
         if let Some(gateway) = self.gateway.upgrade() {
             let service = self.service.clone();
-            gateway.fleet().release(&service, self);
+            let now = gateway.now();
+            gateway.fleet().release(&service, self, now);
         }
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
 use siskinbend_request::retry_after;
 use siskinbend_site::Config;
 use siskinbend_site::config::KeyOwner;
+use siskinbend_types::Organisation;
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
@@ -78,10 +79,16 @@
     let now = gateway.now();
     let retry_delay =
         (outcome == Outcome::NotRun).then(|| find_retry_delay(gateway, call, reason, now));
+    let organisation = call.organisation.as_ref().map(Organisation::as_str);
+    let limit = gateway.fleet().total_limit(&call.service);
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
         route:% = call.route.prefix,
+        organisation = organisation.unwrap_or_default(),
+        priority = call.priority.unwrap_or_default(),
+        limit = limit.unwrap_or(0),
+        predicted_ms = call.predicted().as_millis() as u64,
         reason:% = reason,
         outcome:% = outcome,
         waited_ms = now.since(call.received_at).as_millis() as u64,
@@ -106,7 +113,7 @@
         return delay;
     }
     let cause = match reason {
-        Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit => {
+        Reason::QueueFull | Reason::ShareExceeded | Reason::Displaced | Reason::ServerLimit => {
             retry_after::RefusalCause::Overloaded
         }
         Reason::NoReplica | Reason::Draining => retry_after::RefusalCause::Closed,
@@ -182,6 +189,7 @@
         priority: Some(find_priority(route.priority, owner.as_ref())),
         organisation: owner.map(|o| o.organisation),
         fingerprint: OnceLock::new(),
+        predicted_wait: OnceLock::new(),
         route,
     })
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,8 @@
     pub running: u32,
     /// Maximum number of streams in flight, if there is a limit.
     pub limit: Option<u32>,
+    /// Number of streams that wait for a place under the limit.
+    pub waiting: usize,
     /// Age of the oldest load report in seconds.
     pub report_age: f64,
     /// Whether the group behind the service runs passes.
@@ -51,6 +53,8 @@
     pub event_gap: Histogram,
     /// Time to the end of the response.
     pub total: Histogram,
+    /// Time that a stream waited for a place under the limit.
+    pub wait: Histogram,
     /// Crashes of backend servers.
     pub crashes: Counter,
     /// Gateways that share the request limits of backend servers.
@@ -74,6 +78,7 @@
     servers: Family<ServiceLabels, Gauge>,
     running: Family<ServiceLabels, Gauge>,
     limit: Family<ServiceLabels, Gauge>,
+    waiting: Family<ServiceLabels, Gauge>,
     report_age: Family<ServiceLabels, SecondsGauge>,
     open: Family<ServiceLabels, Gauge>,
 }
@@ -87,6 +92,7 @@
             first_event: register_latency(all, "first_event_seconds", "Time to the first event"),
             event_gap: register_latency(all, "pause_seconds", "Time between two events"),
             total: register_latency(all, "answer_seconds", "Time to the end of the answer"),
+            wait: register_latency(all, "wait_seconds", "Time in the queue of the gateway"),
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
             gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
@@ -101,6 +107,7 @@
             servers: register(all, "servers", "Known backend servers"),
             running: register(all, "streams", "Streams under way"),
             limit: register(all, "streams_limit", "Most streams, 0 for no limit"),
+            waiting: register(all, "waiting_requests", "Streams that wait for a place"),
             report_age: register(all, "report_age_seconds", "Oldest load report"),
             open: register(all, "group_open", "1 if the group runs passes"),
             registry,
@@ -133,6 +140,9 @@
                 .set(i64::from(state.running));
             let limit = i64::from(state.limit.unwrap_or(0));
             self.limit.get_or_create(&labels).set(limit);
+            self.waiting
+                .get_or_create(&labels)
+                .set(state.waiting as i64);
             self.report_age.get_or_create(&labels).set(state.report_age);
             self.open.get_or_create(&labels).set(i64::from(state.open));
         }
@@ -142,6 +152,7 @@
         self.servers.clear();
         self.running.clear();
         self.limit.clear();
+        self.waiting.clear();
         self.report_age.clear();
         self.open.clear();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod server;
 mod store_watch;
 mod stream;
+mod waiting;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/src/gateway/returns.rs
+++ b/src/gateway/returns.rs
@@ -24,7 +24,10 @@
     reason: Reason,
     now: Time,
 ) -> Option<Duration> {
-    let is_overload = matches!(reason, Reason::QueueFull | Reason::ShareExceeded);
+    let is_overload = matches!(
+        reason,
+        Reason::QueueFull | Reason::ShareExceeded | Reason::Displaced
+    );
     if !call.route.kind.is_stream() || !is_overload {
         return None;
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -39,6 +39,7 @@
 use super::handler::refuse;
 use super::response::Body;
 use super::returns;
+use super::waiting;
 
 /// Fraction of the latency goal within which the first event must arrive to count as in time. The
 /// rest is left for the round trip to the caller.
@@ -80,6 +81,9 @@
     let mut permit = AdmissionPermit::new(gateway, &call.service);
     let is_retryable = call.route.kind.is_retryable();
     let mut attempts = DirectAttempts::new(is_retryable, call.route.max_attempts, call.deadline);
+    if let Err(reason) = waiting::admit(gateway, &call, &mut permit).await {
+        return refuse(gateway, &call, attempts.give_up(reason));
+    }
     let pending = loop {
         let last_event = call.head.last_event.clone();
         let sent = send_attempt(gateway, &call, &mut attempts, Some(&mut permit), last_event);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -70,3 +70,4 @@
 mod unframed_answers;
 mod util;
 mod versions;
+mod waiting_streams;
