Merge admission control of gateways

The room of a group now caps the concurrency limit of each gateway, in proportion to what it has in flight, so that one queue decides about urgency and fairness; the separate shares by priority are gone. The queue knows evacuated zones.

--- a/crates/routing/src/group_limits.rs
+++ b/crates/routing/src/group_limits.rs
@@ -7,10 +7,11 @@
 
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Time;
+use siskinbend_types::Zone;
 
 use crate::ConcurrencyLimit;
 use crate::GroupRoom;
-use crate::UrgencyShares;
+use crate::Picker;
 use crate::group_room::RoomChange;
 
 /// Utilisation of a group's slots from which its concurrency limit is enforced. While slots are
@@ -21,95 +22,92 @@
 #[derive(Debug, Default)]
 pub struct GroupLimits {
     limits: BTreeMap<Option<EngineGroup>, ConcurrencyLimit>,
-    /// Rooms by group; they count only with [`GroupLimits::urgency`].
     rooms: BTreeMap<Option<EngineGroup>, GroupRoom>,
-    /// Demand by priority, if the service's requests have different ones.
-    urgency: Option<UrgencyShares>,
+    /// Whether the rooms of the groups cap the limits.
+    has_rooms: bool,
 }
 
 impl GroupLimits {
-    /// Sets whether the service's requests have different priorities.
-    pub fn set_urgency(&mut self, has_priorities: bool) {
-        if has_priorities {
-            self.urgency.get_or_insert_default();
-        } else {
-            self.urgency = None;
-            self.rooms.clear();
-        }
-    }
-
-    /// Lists the groups that take no new request of a priority; 0 is the most urgent.
-    /// `estimate_load` returns the requests per slot of a group.
-    pub fn list_full<Estimate>(
-        &self,
-        priority: u8,
-        estimate_load: Estimate,
-        now: Time,
-    ) -> Vec<Option<EngineGroup>>
+    /// Lists the groups that take no new requests. `estimate_load` returns the requests per slot of
+    /// a group.
+    pub fn list_full<Estimate>(&self, estimate_load: Estimate) -> Vec<Option<EngineGroup>>
     where
         Estimate: Fn(Option<&EngineGroup>) -> f64,
     {
         let is_full = |(group, limit): &(&Option<EngineGroup>, &ConcurrencyLimit)| {
-            let room = self.find_room(group, priority, now);
-            if room.is_none() && !limit.is_reached() {
-                return false;
-            }
-            let load = estimate_load(group.as_ref());
-            let is_limited = limit.is_reached() && load >= BUSY_UTILISATION;
-            is_limited || room.is_some_and(|room| load >= room.max(BUSY_UTILISATION))
+            limit.is_reached() && estimate_load(group.as_ref()) >= BUSY_UTILISATION
         };
         let full = self.limits.iter().filter(is_full);
         full.map(|(group, _)| group.clone()).collect()
     }
 
-    /// Returns the requests per slot up to which a group takes requests of a priority, if its room
-    /// is known.
-    fn find_room(&self, group: &Option<EngineGroup>, priority: u8, now: Time) -> Option<f64> {
-        let urgency = self.urgency.as_ref()?;
-        let room = self.rooms.get(group)?.room(now)?;
-        Some(room * urgency.usable_fraction(priority))
+    /// Number of requests that the usable groups of a picker may be sent, [`u32::MAX`] if one of
+    /// them has no limit or free slots; `None` if all groups are closed.
+    pub fn count_free(
+        &self,
+        picker: &Picker,
+        closed: &[Option<EngineGroup>],
+        closed_zones: &[Zone],
+    ) -> Option<u32> {
+        let mut seen: Vec<&Option<EngineGroup>> = Vec::new();
+        let mut free: Option<u32> = None;
+        for group in picker.list_groups() {
+            if seen.contains(&group) || closed.contains(group) {
+                continue;
+            }
+            seen.push(group);
+            let limit = self
+                .limits
+                .get(group)
+                .and_then(ConcurrencyLimit::count_free);
+            let Some(count) = limit else {
+                return Some(u32::MAX);
+            };
+            if picker.estimate_load(group.as_ref(), closed_zones) < BUSY_UTILISATION {
+                return Some(u32::MAX);
+            }
+            free = Some(free.unwrap_or(0).saturating_add(count));
+        }
+        free
     }
 
-    /// Records a new request of a priority and whether it was admitted.
-    pub fn record_request(&mut self, priority: u8, is_admitted: bool, now: Time) {
-        if let Some(urgency) = &mut self.urgency {
-            urgency.record_asked(priority, now);
-            if is_admitted {
-                urgency.record_admitted(priority);
-            }
+    /// Sets whether the rooms of the groups are measured and cap the limits.
+    pub fn set_rooms(&mut self, has_rooms: bool) {
+        self.has_rooms = has_rooms;
+        if !has_rooms {
+            self.rooms.clear();
+            self.limits.values_mut().for_each(ConcurrencyLimit::uncap);
         }
     }
 
-    /// Records a pause within an answer of a group, as a multiple of its goal. `estimate_load`
-    /// returns the requests per slot of the group. Returns the measurements of the room if a window
-    /// has ended.
+    /// Records a pause within an answer of a group, as a multiple of its goal, that began at `since`.
+    /// `estimate_load` returns the requests per slot of the group. Returns the measurements of the
+    /// room if a window has ended.
     pub fn record_pause<Estimate>(
         &mut self,
         group: &Option<EngineGroup>,
         ratio: f64,
+        since: Time,
         estimate_load: Estimate,
         now: Time,
     ) -> Option<RoomChange>
     where
         Estimate: FnOnce(Option<&EngineGroup>) -> f64,
     {
-        self.of_group(group).record_pause(ratio > 1.0);
-        self.urgency.as_ref()?;
-        let load = estimate_load(group.as_ref());
+        let limit = self.limits.entry(group.clone()).or_default();
+        let is_counted = limit.record_pause(ratio > 1.0, since);
+        if !self.has_rooms {
+            return None;
+        }
         let room = self.rooms.entry(group.clone()).or_default();
-        room.record_pause(ratio, load, now)
-    }
-
-    /// Discards the latest pauses of a group that stood still, which are no measure of its room.
-    pub fn record_standstill(&mut self, group: &Option<EngineGroup>, now: Time) {
-        if let Some(room) = self.rooms.get_mut(group) {
+        if !is_counted {
             room.restart(now);
+            return None;
         }
-    }
-
-    /// Returns the limit of a group.
-    pub fn of_group(&mut self, group: &Option<EngineGroup>) -> &mut ConcurrencyLimit {
-        self.limits.entry(group.clone()).or_default()
+        let change = room.record_pause(ratio, estimate_load(group.as_ref()), now)?;
+        // Each gateway gets a share of the room by what it has in flight.
+        limit.cap(change.room / change.load.max(f64::MIN_POSITIVE));
+        Some(change)
     }
 
     /// Finds the limit of a group, if there has been one.
@@ -117,6 +115,11 @@
         self.limits.get(group)
     }
 
+    /// Returns the limit of a group.
+    pub fn of_group(&mut self, group: &Option<EngineGroup>) -> &mut ConcurrencyLimit {
+        self.limits.entry(group.clone()).or_default()
+    }
+
     /// Number of requests in flight in all groups.
     pub fn in_flight(&self) -> u32 {
         self.limits.values().map(ConcurrencyLimit::in_flight).sum()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
-mod overload;
+mod limits;
+mod queue;
 mod signals;
 mod state;
 mod zones;
@@ -20,7 +21,6 @@
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::AttemptResult;
-use siskinbend_routing::ConcurrencyLimit;
 use siskinbend_routing::GroupLimits;
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
@@ -28,12 +28,14 @@
 use siskinbend_routing::Pauses;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
+use siskinbend_routing::ReturnCalendar;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
 use siskinbend_routing::Withdrawals;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
 use siskinbend_routing::send_rules;
+use siskinbend_routing::standstill::CLOSED_TTL;
 use siskinbend_site::BackendServer;
 use siskinbend_site::NodeSettings;
 use siskinbend_site::ServerState;
@@ -60,6 +62,10 @@
 pub(super) use state::PausedServer;
 pub(super) use state::ServiceState;
 
+pub(super) use limits::StreamTiming;
+pub(super) use queue::Admission;
+pub(super) use queue::StartedRequest;
+
 /// Maximum number of retries that one gateway can accumulate. All gateways together must stay
 /// within the slack that the operators allow, and a gateway does not know how many gateways there
 /// are.
@@ -67,8 +73,6 @@
 /// Fraction of the operators' retry ratio that is used, so that the ratio holds in measurement
 /// windows of any phase.
 const RETRY_RATIO_FRACTION: f64 = 0.7;
-/// Time for which a group counts as closed after its last report of being closed.
-const CLOSED_TTL: Duration = Duration::from_millis(800);
 /// Number of randomly sampled replicas that are compared. With a larger sample, gateways with the
 /// same load reports would choose the same replica.
 const SAMPLE_SIZE: usize = 4;
@@ -83,6 +87,10 @@
     directory: Directory,
     /// Groups that were closed according to their latest loads, with the time of these.
     closed: BTreeMap<EngineGroup, Time>,
+    /// Zones whose servers may get no requests.
+    closed_zones: Vec<Zone>,
+    returns: ReturnCalendar,
+    streams: queue::StreamQueue,
 }
 
 impl ServiceRouting {
@@ -96,6 +104,7 @@
     /// Counts an admitted request against the limit of another group than before.
     fn move_permit(&mut self, permit: &mut AdmissionPermit, group: &Option<EngineGroup>) {
         self.release(permit);
+        self.streams.confirm(permit);
         self.limits.of_group(group).acquire();
         permit.counted = Some(group.clone());
     }
@@ -142,6 +151,8 @@
     replicas: BTreeMap<AgentId, Replica>,
     rules: SendRules,
     zones: Zones,
+    /// Number of standstills of groups since the start.
+    standstills: u64,
 }
 
 impl Fleet {
@@ -158,6 +169,7 @@
                 withdrawals: Withdrawals::default(),
             },
             zones: Zones::default(),
+            standstills: 0,
         }
     }
 
@@ -340,6 +352,9 @@
                 limits: GroupLimits::default(),
                 directory: Directory::default(),
                 closed: BTreeMap::new(),
+                closed_zones: self.zones.list_closed(),
+                returns: ReturnCalendar::default(),
+                streams: queue::StreamQueue::default(),
             };
             self.services.insert(name.clone(), routing);
         }
@@ -361,34 +376,28 @@
         now: Time,
     ) -> Result<Target, Reason> {
         let withheld = self.rules.list_withheld(now);
-        let closed_zones = self.zones.list_closed();
         let routing = self.service(service);
         let mut closed_groups = routing.list_closed(now);
-        let new_priority = permit
+        let is_new = permit
             .as_ref()
-            .filter(|permit| permit.counted.is_none())
-            .map(|permit| permit.priority);
-        let full = new_priority.map_or_else(Vec::new, |priority| {
-            let picker = &routing.picker;
-            let estimate_load =
-                |group: Option<&EngineGroup>| picker.estimate_load(group, &closed_zones);
-            routing.limits.list_full(priority, estimate_load, now)
-        });
+            .is_some_and(|permit| permit.counted.is_none());
+        let full = match is_new {
+            true => routing
+                .limits
+                .list_full(|group| routing.picker.estimate_load(group, &routing.closed_zones)),
+            false => Vec::new(),
+        };
         let is_limited = !full.is_empty();
         closed_groups.extend(full);
         let mut requirements = Requirements {
             avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
             closed_groups,
-            closed_zones,
+            closed_zones: routing.closed_zones.clone(),
             regions: regions.clone(),
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
         let choice = picker.choose(&requirements, now, &mut rand::rng());
-        if let Some(priority) = new_priority {
-            let is_admitted = choice.is_ok();
-            routing.limits.record_request(priority, is_admitted, now);
-        }
         let choice = choice.map_err(|reason| {
             if picker.are_all_closed(&requirements.closed_zones) {
                 // Whatever else leaves no server is found as if no zone were evacuated.
@@ -505,11 +514,6 @@
         routing.map_or_else(Vec::new, |r| r.directory.list_load_sources(&self.zone))
     }
 
-    /// Returns the concurrency limit of the group of a target.
-    pub fn concurrency_limit(&mut self, target: &Target) -> &mut ConcurrencyLimit {
-        self.service(&target.service).limits.of_group(&target.group)
-    }
-
     /// Records the loads of a group.
     pub fn record_loads(&mut self, loads: &GroupLoads, now: Time) {
         let ids: HashMap<SocketAddr, AgentId> = self
@@ -544,34 +548,6 @@
         }
     }
 
-    fn set_group_state(
-        &mut self,
-        service: &ServiceName,
-        group: &EngineGroup,
-        open: bool,
-        now: Time,
-    ) {
-        let closed = &mut self.service(service).closed;
-        let was_open = !closed.contains_key(group);
-        if open {
-            closed.remove(group);
-        } else {
-            closed.insert(group.clone(), now);
-        }
-        if open && !was_open {
-            let limits = &mut self.service(service).limits;
-            limits.record_standstill(&Some(group.clone()), now);
-        }
-        if open != was_open {
-            log::info!(service:% = service, group:% = group, open; "group_state");
-        }
-    }
-
-    /// Ends the permit of a request for a service.
-    pub fn release(&mut self, service: &ServiceName, permit: &mut AdmissionPermit) {
-        self.service(service).release(permit);
-    }
-
     /// Returns the retry budget of a service.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         &mut self.service(service).budget
--- a/src/gateway/fleet/state.rs
+++ b/src/gateway/fleet/state.rs
@@ -22,6 +22,8 @@
     pub running: u32,
     /// Maximum number of streams in flight, if there is a limit.
     pub limit: Option<u32>,
+    /// Number of streams that wait for a place under the limit.
+    pub waiting: usize,
     /// Age of the oldest load report in seconds.
     pub report_age: f64,
     /// Whether the group behind the service runs passes.
@@ -80,6 +82,7 @@
                 servers: replicas().count(),
                 running: routing.limits.in_flight(),
                 limit: routing.limits.total_limit(),
+                waiting: routing.streams.waiting(),
                 report_age: ages.fold(0.0, f64::max),
                 open: routing.list_closed(now).is_empty(),
             }
--- a/src/gateway/fleet/zones.rs
+++ b/src/gateway/fleet/zones.rs
@@ -38,6 +38,10 @@
             return;
         }
         let before = std::mem::replace(&mut self.zones.evacuated, evacuated.clone());
+        let closed = self.zones.list_closed();
+        for routing in self.services.values_mut() {
+            routing.closed_zones.clone_from(&closed);
+        }
         for (zone, evacuation) in evacuated {
             if !before.contains_key(zone) {
                 self.zones.reopened.remove(zone);
--- a/src/gateway/guards.rs
+++ b/src/gateway/guards.rs
@@ -9,6 +9,7 @@
 use siskinbend_types::Time;
 
 use super::Gateway;
+use super::fleet::StartedRequest;
 use super::fleet::Target;
 
 /// Permit of a request, which counts against the concurrency limit of the group that runs it until
@@ -16,20 +17,20 @@
 pub(super) struct AdmissionPermit {
     gateway: Weak<Gateway>,
     service: ServiceName,
-    /// Priority of the request; 0 is the most urgent.
-    pub priority: u8,
     /// Group against whose limit the request counts, if it counts.
     pub counted: Option<Option<EngineGroup>>,
+    /// Place in the fairness between organisations, if the service has a limit.
+    pub started: Option<StartedRequest>,
 }
 
 impl AdmissionPermit {
     /// Creates a permit of a request for which no backend server has been chosen.
-    pub fn new(gateway: &Arc<Gateway>, service: &ServiceName, priority: u8) -> AdmissionPermit {
+    pub fn new(gateway: &Arc<Gateway>, service: &ServiceName) -> AdmissionPermit {
         AdmissionPermit {
             gateway: Arc::downgrade(gateway),
             service: service.clone(),
-            priority,
             counted: None,
+            started: None,
         }
     }
 }
@@ -38,7 +39,8 @@
     fn drop(&mut self) {
         if let Some(gateway) = self.gateway.upgrade() {
             let service = self.service.clone();
-            gateway.fleet().release(&service, self);
+            let now = gateway.now();
+            gateway.fleet().release(&service, self, now);
         }
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
 use siskinbend_request::retry_after;
 use siskinbend_site::Config;
 use siskinbend_site::config::KeyOwner;
+use siskinbend_types::Organisation;
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
@@ -27,6 +28,7 @@
 use super::buffered;
 use super::response::Body;
 use super::response::problem_response;
+use super::returns;
 use super::stream;
 
 /// Retry delay for callers whose request cannot be checked because the configuration is missing or
@@ -85,13 +87,25 @@
     };
     // The last servers to refuse the request may have done so because they pause.
     let reason = pause_left.map_or(reason, |_| Reason::ServersPaused);
+    let retry_delay = (outcome == Outcome::NotRun).then(|| match pause_left {
+        Some(left) => round_up(left).min(call.time_left(now)),
+        None => find_retry_delay(gateway, call, reason, now),
+    });
+    let organisation = call.organisation.as_ref().map(Organisation::as_str);
+    let limit = gateway.fleet().total_limit(&call.service);
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
+        route:% = call.route.prefix,
+        organisation = organisation.unwrap_or_default(),
+        priority = call.priority.unwrap_or_default(),
+        limit = limit.unwrap_or(0),
+        predicted_ms = call.predicted().as_millis() as u64,
         reason:% = reason,
         outcome:% = outcome,
         waited_ms = now.since(call.received_at).as_millis() as u64,
-        left_ms = call.time_left(now).as_millis() as u64;
+        left_ms = call.time_left(now).as_millis() as u64,
+        retry_ms = retry_delay.map_or(0, |d| d.as_millis() as u64);
         "request_refused"
     );
     gateway.metrics.requests.record_refusal(reason);
@@ -99,10 +113,6 @@
         .metrics
         .requests
         .record_request(call.service.as_str(), outcome);
-    let retry_delay = (outcome == Outcome::NotRun).then(|| match pause_left {
-        Some(left) => round_up(left).min(call.time_left(now)),
-        None => find_retry_delay(gateway, call, reason, now),
-    });
     problem_response(reason, outcome, retry_delay)
 }
 
@@ -111,10 +121,15 @@
     if let Some((_, blocked_for)) = gateway.crashes.find_blocked(call, now) {
         return blocked_for;
     }
+    if let Some(delay) = returns::book(gateway, call, reason, now) {
+        return delay;
+    }
     let cause = match reason {
-        Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit | Reason::ServersPaused => {
-            retry_after::RefusalCause::Overloaded
-        }
+        Reason::QueueFull
+        | Reason::ShareExceeded
+        | Reason::Displaced
+        | Reason::ServerLimit
+        | Reason::ServersPaused => retry_after::RefusalCause::Overloaded,
         Reason::NoReplica | Reason::Draining | Reason::ZoneEvacuated | Reason::RegionNotAllowed => {
             retry_after::RefusalCause::Closed
         }
@@ -200,6 +215,7 @@
         ),
         organisation: owner.map(|o| o.organisation),
         fingerprint: OnceLock::new(),
+        predicted_wait: OnceLock::new(),
         route,
     })
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,8 @@
     pub event_gap: Histogram,
     /// Time to the end of the response.
     pub total: Histogram,
+    /// Time that a stream waited for a place under the limit.
+    pub wait: Histogram,
     /// Crashes of backend servers.
     pub crashes: Counter,
     /// Gateways that share the request limits of backend servers.
@@ -59,6 +61,12 @@
     pub blocked_parts: Gauge,
     /// Blocked requests.
     pub blocked_requests: Gauge,
+    /// Standstills of groups.
+    pub standstills: Counter,
+    /// Refused streams whose callers were given a time with capacity.
+    pub booked_returns: Counter,
+    /// Refused streams whose callers were given a random time, because none had capacity.
+    pub unbooked_returns: Counter,
     /// History of the store.
     pub timeline: Gauge,
     config_version: Gauge,
@@ -66,6 +74,7 @@
     servers: Family<ServiceLabels, Gauge>,
     running: Family<ServiceLabels, Gauge>,
     limit: Family<ServiceLabels, Gauge>,
+    waiting: Family<ServiceLabels, Gauge>,
     report_age: Family<ServiceLabels, SecondsGauge>,
     open: Family<ServiceLabels, Gauge>,
     zones: Family<ZoneLabels, Gauge>,
@@ -80,6 +89,7 @@
             first_event: register_latency(all, "first_event_seconds", "Time to the first event"),
             event_gap: register_latency(all, "pause_seconds", "Time between two events"),
             total: register_latency(all, "answer_seconds", "Time to the end of the answer"),
+            wait: register_latency(all, "wait_seconds", "Time in the queue of the gateway"),
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
             gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
@@ -88,12 +98,16 @@
             ignored_headers: register(all, "ignored_headers", "Malformed headers of servers"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
+            standstills: register(all, "group_standstills", "Standstills of groups"),
+            booked_returns: register(all, "booked_returns", "Refusals with a booked time"),
+            unbooked_returns: register(all, "unbooked_returns", "Refusals without a booked time"),
             timeline: register(all, "store_timeline", "History of the store"),
             config_version: register(all, "config_version", "Version in force"),
             config_age: register(all, "config_age_seconds", "Time since it was confirmed"),
             servers: register(all, "servers", "Known backend servers"),
             running: register(all, "streams", "Streams under way"),
             limit: register(all, "streams_limit", "Most streams, 0 for no limit"),
+            waiting: register(all, "waiting_requests", "Streams that wait for a place"),
             report_age: register(all, "report_age_seconds", "Oldest load report"),
             open: register(all, "group_open", "1 if the group runs passes"),
             zones: register(
@@ -131,6 +145,9 @@
                 .set(i64::from(state.running));
             let limit = i64::from(state.limit.unwrap_or(0));
             self.limit.get_or_create(&labels).set(limit);
+            self.waiting
+                .get_or_create(&labels)
+                .set(state.waiting as i64);
             self.report_age.get_or_create(&labels).set(state.report_age);
             self.open.get_or_create(&labels).set(i64::from(state.open));
         }
@@ -157,6 +174,7 @@
         self.servers.clear();
         self.running.clear();
         self.limit.clear();
+        self.waiting.clear();
         self.report_age.clear();
         self.open.clear();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,10 +17,12 @@
 mod members;
 mod metrics;
 mod response;
+mod returns;
 mod server;
 mod status;
 mod store_watch;
 mod stream;
+mod waiting;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -154,6 +156,8 @@
             self.metrics.leaving_servers.set(leaving as i64);
             let paused = fleet.list_paused(now).len();
             self.metrics.paused_servers.set(paused as i64);
+            let standstills = &self.metrics.standstills;
+            standstills.inc_by(fleet.standstills().saturating_sub(standstills.get()));
             fleet.list_states(now)
         };
         self.metrics.update_gauges(version, age, &states);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,11 +32,14 @@
 use super::attempt::wait_until_stalled;
 use super::buffered;
 use super::crashes;
+use super::fleet::StreamTiming;
 use super::fleet::Target;
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
 use super::handler::refuse;
 use super::response::Body;
+use super::returns;
+use super::waiting;
 
 /// Fraction of the latency goal within which the first event must arrive to count as in time. The
 /// rest is left for the round trip to the caller.
@@ -75,10 +78,12 @@
 
 /// Serves a stream request.
 pub(super) async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<Body> {
-    let mut permit =
-        AdmissionPermit::new(gateway, &call.service, call.priority.unwrap_or_default());
+    let mut permit = AdmissionPermit::new(gateway, &call.service);
     let is_retryable = call.route.kind.is_retryable();
     let mut attempts = DirectAttempts::new(is_retryable, call.route.max_attempts, call.deadline);
+    if let Err(reason) = waiting::admit(gateway, &call, &mut permit).await {
+        return refuse(gateway, &call, attempts.give_up(reason));
+    }
     let pending = loop {
         let last_event = call.head.last_event.clone();
         let sent = send_attempt(gateway, &call, &mut attempts, Some(&mut permit), last_event);
@@ -101,6 +106,7 @@
             }
         }
     };
+    returns::record_admission(gateway, &call);
     relay(gateway, call, attempts, pending, permit)
 }
 
@@ -244,25 +250,15 @@
     /// Records in the concurrency limit and the metrics whether the data arrived in time.
     fn record_latency(&mut self, now: Time) {
         let route = &self.call.route;
-        let mut fleet = self.gateway.fleet();
-        match self.last_data_at.replace(now) {
+        let received_at = self.call.received_at;
+        let timing = match self.last_data_at.replace(now) {
             None => {
                 let goal = route.latency_goal.mul_f64(GOAL_FRACTION).as_secs_f64();
-                let took = now.since(self.call.received_at).as_secs_f64();
+                let took = now.since(received_at).as_secs_f64();
                 self.gateway.metrics.first_event.observe(took);
-                let limit = fleet.concurrency_limit(&self.attempt.target);
-                let goal_ratio = took / goal.max(f64::MIN_POSITIVE);
-                if let Some(change) = limit.record_answer(goal_ratio, self.call.received_at, now) {
-                    log::info!(
-                        service:% = self.call.service,
-                        group:% = self.attempt.target.group.as_ref().map(ToString::to_string).unwrap_or_default(),
-                        most = change.limit.unwrap_or(0),
-                        peak = change.peak,
-                        late = format!("{:.2}", change.late_share),
-                        paused = format!("{:.3}", change.late_pause_share),
-                        mean = format!("{:.2}", change.mean_ratio);
-                        "limit_changed"
-                    );
+                StreamTiming::First {
+                    goal_ratio: took / goal.max(f64::MIN_POSITIVE),
+                    received_at,
                 }
             }
             Some(previous) => {
@@ -271,9 +267,14 @@
                 let goal = route
                     .event_gap
                     .map_or(f64::INFINITY, |goal| goal.as_secs_f64());
-                fleet.record_pause(&self.attempt.target, gap.as_secs_f64() / goal, now);
+                StreamTiming::Next {
+                    goal_ratio: gap.as_secs_f64() / goal,
+                    previous,
+                }
             }
-        }
+        };
+        let mut fleet = self.gateway.fleet();
+        fleet.record_timing(&self.attempt.target, self.attempt.sent_at, timing, now);
     }
 
     fn finish(&mut self) {
