Withhold only leaving servers that are registered

Cause: runs that have left are remembered for ten minutes, in case a restored store lists them again. Each choice of a server compared all of them with all candidates, although none of them can be chosen.

Change: a leaving run is listed only while it is registered. The test with answers of other servers has a time limit, because with its mechanism off it waited for ever.

Ruled out: forgetting a run when its entry is removed, which would send requests to it again when the entry comes back.

--- a/crates/routing/src/withdrawal.rs
+++ b/crates/routing/src/withdrawal.rs
@@ -26,6 +26,8 @@
     pub since: Time,
     /// When the run was last known to be registered.
     registered_at: Time,
+    /// Whether it still is, as far as is known. If not, it can't be chosen.
+    is_registered: bool,
 }
 
 /// Leaving backend servers, as far as their answers to this gateway said so.
@@ -45,6 +47,7 @@
             run,
             since: now,
             registered_at: now,
+            is_registered: true,
         };
         self.leaving.insert(server.clone(), withdrawal);
         true
@@ -53,7 +56,10 @@
     /// Records that a run of a backend server is registered. What an earlier run said is forgotten.
     pub fn observe(&mut self, server: &AgentId, run: Incarnation, now: Time) {
         match self.leaving.get_mut(server) {
-            Some(known) if known.run == run => known.registered_at = now,
+            Some(known) if known.run == run => {
+                known.registered_at = now;
+                known.is_registered = true;
+            }
             Some(_) => {
                 self.leaving.remove(server);
             }
@@ -79,11 +85,16 @@
     }
 
     fn list_withheld(&self, _: Time) -> Vec<AgentId> {
-        self.leaving.keys().cloned().collect()
+        let registered = self.leaving.iter().filter(|(_, w)| w.is_registered);
+        registered.map(|(server, _)| server.clone()).collect()
     }
 
     fn record_dispatch(&mut self, _: &AgentId, _: Time) {}
 
-    /// Has no effect: the entry of the same run may come back with a restored store.
-    fn remove(&mut self, _: &AgentId) {}
+    /// The run is still remembered: its entry may come back with a restored store.
+    fn remove(&mut self, server: &AgentId) {
+        if let Some(known) = self.leaving.get_mut(server) {
+            known.is_registered = false;
+        }
+    }
 }
--- a/tests/integration/leaving_servers.rs
+++ b/tests/integration/leaving_servers.rs
@@ -9,6 +9,7 @@
 use siskinbend_standins::site::check::complete_stream;
 
 use crate::deployment::Deployment;
+use crate::deployment::EVENT_TIMEOUT;
 use crate::deployment::RANKS;
 
 /// Time after the first answer of a leaving server from which no request may reach it.
@@ -135,7 +136,9 @@
     ] {
         odd.signals.set_rejection(Some((status, id)));
         let before = odd.signals.arrivals().len();
+        let started = Instant::now();
         while odd.signals.arrivals().len() == before {
+            assert!(started.elapsed() < EVENT_TIMEOUT, "the server is left out");
             deployment.call("/stock/x/", "v1").await;
         }
     }
--- a/tests/integration/server_signals.rs
+++ b/tests/integration/server_signals.rs
@@ -66,6 +66,7 @@
     assert!(withdrawals.record(&server(1), first, at(10)));
     assert!(!withdrawals.record(&server(1), first, at(11)));
     withdrawals.remove(&server(1));
+    assert!(withdrawals.list_withheld(at(11)).is_empty());
     withdrawals.observe(&server(1), first, at(300));
     withdrawals.expire(at(800));
     assert_eq!(withdrawals.list_withheld(at(800)), [server(1)]);
