--- a/crates/routing/src/standstill.rs
+++ b/crates/routing/src/standstill.rs
@@ -53,6 +53,8 @@
     /// Records data of a stream that had waited for it since `waiting_since`. Returns the
     /// standstill that ended.
     pub fn record_data(&mut self, waiting_since: Time, now: Time) -> Option<Standstill> {
+        // Nothing says whether a group that was idle before, or its load, holds up the first data.
+        let was_active = waiting_since.since(self.last_data) <= MAX_SILENCE;
         let silent_since = self.last_data.max(waiting_since);
         self.last_data = now;
         if let Some((since, reported_at)) = self.closed {
@@ -66,7 +68,7 @@
             .latest
             .is_none_or(|latest| silent_since.since(latest.ended) >= MIN_SPACING);
         let is_silence = now.since(silent_since) > MAX_SILENCE;
-        (is_silence && is_spaced).then(|| self.end(silent_since, now))
+        (was_active && is_silence && is_spaced).then(|| self.end(silent_since, now))
     }
 
     /// Whether something that lasted from `since` until now was held up by a standstill.
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -52,6 +52,8 @@
     /// Number of events after which the next stream is cut off, inside the following event; 0 for
     /// no cut.
     pub cut_after: AtomicU32,
+    /// Delay of the first event of each stream in milliseconds.
+    pub delay_ms: AtomicU32,
     /// Rejects every request with status 503 and marks it as not executed.
     pub overloaded: AtomicBool,
     /// Closes the connection instead of answering, after the request was executed.
@@ -97,6 +99,7 @@
             group,
             runs: Mutex::default(),
             cut_after: AtomicU32::new(0),
+            delay_ms: AtomicU32::new(0),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
             limit: Mutex::default(),
@@ -279,7 +282,11 @@
             stream.finished = true;
             return None;
         }
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        let delay_ms = match stream.next_event {
+            1 => stream.replica.delay_ms.load(Ordering::Relaxed),
+            _ => 0,
+        };
+        tokio::time::sleep(EVENT_INTERVAL + Duration::from_millis(delay_ms.into())).await;
         if stream.cut_after > 0 && stream.next_event > stream.cut_after + 1 {
             stream.finished = true;
             return Some((Err(DroppedResponse), stream));
--- a/tests/integration/group_standstill.rs
+++ b/tests/integration/group_standstill.rs
@@ -150,6 +150,20 @@
     assert!(limit.limit().is_some_and(|limit| limit < 40));
 }
 
+/// Guards against late answers to a burst that meets an idle group and that count as a standstill.
+#[test]
+fn burst_after_idle_is_overload() {
+    let mut limit = ConcurrencyLimit::default();
+    limit.record_data(Time::from_millis(100), Time::from_millis(150));
+    (0..40).for_each(|_| limit.acquire());
+    let (start, now) = (Time::from_millis(5_000), Time::from_millis(5_700));
+    for _ in 0..8 {
+        limit.record_data(start, now);
+        limit.record_answer(1.75, start, now);
+    }
+    assert!(limit.limit().is_some_and(|limit| limit < 40));
+}
+
 /// Guards against a decrease shortly before the standstill became known that lasts.
 #[test]
 fn early_decrease_is_undone() {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -34,6 +34,7 @@
 mod lease;
 mod ledger;
 mod limited_servers;
+mod limited_streams;
 mod map_orders;
 mod membership;
 mod operators;
--- a/tests/integration/waiting_streams.rs
+++ b/tests/integration/waiting_streams.rs
@@ -276,3 +276,16 @@
     assert!(gateway.counts[1].displaced > 0, "{:?}", gateway.counts);
     assert!(gateway.queue.queued() <= waiting + 1);
 }
+
+/// Guards against waiters that stay when all groups close, and against places that are lost by it.
+#[test]
+fn closed_group_ends_all_waits() {
+    let mut gateway = Gateway::new(1);
+    (0..40).for_each(|_| gateway.receive(0, CHAT, 1_000));
+    let waiting = gateway.queue.queued();
+    assert!(waiting > 0);
+    assert_eq!(gateway.queue.clear().len(), waiting);
+    (1_000..4_000).for_each(|ms| gateway.finish(ms));
+    (0..40).for_each(|_| gateway.receive(0, CHAT, 4_000));
+    assert_eq!(gateway.counts[0].started, 2 * SLOTS);
+}
