--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -36,6 +36,7 @@
 mod leaving_servers;
 mod ledger;
 mod limited_servers;
+mod limited_streams;
 mod map_orders;
 mod membership;
 mod operators;
