Prefer the own zone only with enough usable servers

Cause: the own zone was preferred as soon as it had one usable server with less load than the mean. When a zone of 24 comes back, its first server is idle and got every request of the gateways of that zone.

Change: the own zone counts only with at least an eighth of the servers that may get the request (min_local_share).

Ruled out: scaling the load up to which the zone is preferred; in lock-step groups the first report of load comes 300 ms late.

Conclusion: few_local_replicas: fewer than 150 of 1,000 requests go to one idle server beside 48 others, all of them to a complete zone.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -78,6 +78,9 @@
     pub spill_load: f64,
     /// Above `spill_load`, the largest load of the own zone as a multiple of the mean load.
     pub spill_ratio: f64,
+    /// Smallest share of the usable replicas that are in the own zone for it to be preferred. The
+    /// first replicas of a zone that comes back are idle, and would get all its requests.
+    pub min_local_share: f64,
 }
 
 impl Default for Tuning {
@@ -91,6 +94,7 @@
             saturated_bound: 1.08,
             spill_load: 0.7,
             spill_ratio: 1.03,
+            min_local_share: 0.125,
         }
     }
 }
@@ -179,7 +183,8 @@
 }
 
 impl Siskinbend {
-    /// Returns the candidates in the own zone, or all candidates if the own zone has too much load.
+    /// Returns the candidates in the own zone, or all candidates if the own zone has too much load or
+    /// too few of them.
     fn filter_by_zone(&self, candidates: &[Candidate]) -> Vec<usize> {
         let all: Vec<usize> = (0..candidates.len()).collect();
         let local: Vec<usize> = all
@@ -192,7 +197,9 @@
             false => self.tuning.spill_load,
         };
         let limit = spill_load.max(mean_load(candidates, &all) * self.tuning.spill_ratio);
-        if local.is_empty() || mean_load(candidates, &local) > limit {
+        let min_local = all.len() as f64 * self.tuning.min_local_share;
+        let is_small = local.is_empty() || (local.len() as f64) < min_local;
+        if is_small || mean_load(candidates, &local) > limit {
             all
         } else {
             local
--- a/tests/integration/choice.rs
+++ b/tests/integration/choice.rs
@@ -327,3 +327,26 @@
         }
     }
 }
+
+/// Guards against sending all requests to the first of many local replicas that comes back, which is
+/// idle, and against giving up the preference for the own zone with it.
+#[test]
+fn few_local_replicas() {
+    let share_of_local = |local: usize| {
+        let mut picker = picker(PolicyKind::Siskinbend);
+        for n in 0..local + 48 {
+            let mut seen = observation(if n < local { 0 } else { 8 });
+            seen.zone = zone(usize::from(n >= local));
+            picker.observe(&agent(n), seen, Time(1));
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut is_local = |_: &usize| {
+            let choice = picker.choose(&Requirements::default(), Time(2), &mut rng);
+            let chosen = choice.expect("a replica").agent;
+            (0..local).any(|n| agent(n) == chosen)
+        };
+        (0..1_000).filter(|n| is_local(n)).count()
+    };
+    assert!(share_of_local(1) < 150, "{}", share_of_local(1));
+    assert_eq!(share_of_local(24), 1_000);
+}
