Decode the cold time of answers, and ignore malformed ones

Cause: X-Cold-Ms was not decoded. A coldRemainingMs that is not a number lost the server's whole entry, and a coldStartS or coldPerS that is not a number the whole configuration.

Ruled out: untyped JSON values in the entries.

Conclusion: platform_formats::cold_times_are_read.

--- a/tests/integration/platform_formats.rs
+++ b/tests/integration/platform_formats.rs
@@ -177,6 +177,41 @@
     }
 }
 
+/// Guards against missing the cold time of a server, against taking other text for one, and against
+/// losing a server or a configuration because of a malformed one.
+#[test]
+fn cold_times_are_read() {
+    let stated = |value: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-cold-ms", HeaderValue::from_static(value));
+        PlatformHeaders.decode_response(200, &headers).cold_for
+    };
+    assert_eq!(stated(" 1500.5 "), Some(Duration::from_micros(1_500_500)));
+    for malformed in ["", "soon", "-1", "inf", "NaN", "1,5"] {
+        assert_eq!(stated(malformed), None, "{malformed}");
+    }
+    for (text, millis) in [("2500", 2_500), ("\"soon\"", 0), ("-1", 0), ("null", 0)] {
+        let entry = format!(
+            "{{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"slots\":8,\
+             \"state\":\"ready\",\"coldRemainingMs\":{text}}}"
+        );
+        let server = parse_server("i-1", entry.as_bytes()).expect("a server");
+        assert_eq!(server.cold_for, Duration::from_millis(millis), "{text}");
+    }
+    for (text, is_limited) in [("20", true), ("\"20\"", false), ("-1", false), ("0", false)] {
+        let config = format!(
+            "{{\"version\":1,\"routes\":[],\"services\":[{{\"name\":\"desk\",\
+             \"coldStartS\":{text},\"coldPerS\":34}}]}}"
+        );
+        let config = parse_config(config.as_bytes()).expect("a configuration");
+        assert_eq!(
+            config.services[0].slow_start.is_some(),
+            is_limited,
+            "{text}"
+        );
+    }
+}
+
 /// Guards against treating a response as "not run" without the header or status that proves it.
 #[test]
 fn not_run_needs_proof() {
