Read the list of gateways again soon after a change

Cause: gateways that start together each miss those that state themselves after their first read, for 25 s. Their shares of a rate then add up to more than it.

Change: the list is read again after 1, 2, 4, ... s up to 25 s after a start and after each change of the number of gateways.

Ruled out: a shorter interval for good; it costs calls to the store.

Conclusion: a fleet that starts at once knows its list within seconds.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,4 +1,5 @@
-//! Keeps the list of the gateways that run, which share the request limits of backend servers.
+//! Keeps the list of the gateways that run, which share the request limits of backend servers and the
+//! rates of cold ones.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -15,6 +16,9 @@
 
 /// Interval at which a gateway states that it runs and reads which others do.
 const INTERVAL: Duration = Duration::from_secs(25);
+/// First interval after a start or a change of the list; it doubles up to [`INTERVAL`]. Gateways that
+/// start together each miss those that state it after their first read.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
 /// Age of a statement from which its gateway no longer shares limits. It spans several statements, so
 /// that one that was missed or is read late does not change the shares.
 const MAX_AGE: Duration = Duration::from_secs(80);
@@ -24,21 +28,27 @@
 /// Announces this gateway and reads which others run.
 pub(super) async fn run(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new("gateways");
+    let mut interval = MIN_INTERVAL;
     let mut timeline = gateway.timeline.subscribe();
     loop {
         match update(&gateway).await {
-            Ok(()) => {
+            Ok(has_changed) => {
                 backoff.reset(gateway.now());
+                if has_changed {
+                    interval = MIN_INTERVAL;
+                }
                 // A restored store may have lost the statement. The gateway outlives this task, so
                 // the wait ends only with a change.
-                let _ = timeout(INTERVAL, timeline.changed()).await;
+                let _ = timeout(interval, timeline.changed()).await;
+                interval = (interval * 2).min(INTERVAL);
             }
             Err(error) => backoff.wait(error, gateway.now()).await,
         }
     }
 }
 
-async fn update(gateway: &Arc<Gateway>) -> Result<(), SourceError> {
+/// Returns whether the number of gateways has changed.
+async fn update(gateway: &Arc<Gateway>) -> Result<bool, SourceError> {
     let membership = &gateway.adapter.membership;
     let own = Member {
         node: gateway.settings.node.clone(),
@@ -50,7 +60,7 @@
     let unix_now = unix_millis();
     let age = |m: &Member| Duration::from_millis(unix_now.saturating_sub(m.stated_ms));
     let running = members.iter().filter(|m| age(m) < MAX_AGE);
-    apply(gateway, running.map(|m| m.node.clone()).collect());
+    let has_changed = apply(gateway, running.map(|m| m.node.clone()).collect());
     let gone: Vec<Member> = members
         .into_iter()
         .filter(|m| age(m) >= REMOVAL_AGE)
@@ -58,14 +68,15 @@
     if !gone.is_empty() {
         membership.remove(&gone).await?;
     }
-    announced
+    announced.map(|()| has_changed)
 }
 
-fn apply(gateway: &Arc<Gateway>, names: BTreeSet<SmolStr>) {
+fn apply(gateway: &Arc<Gateway>, names: BTreeSet<SmolStr>) -> bool {
     let now = gateway.now();
     let time_of_day = Duration::from_millis(unix_millis());
     let (before, after) = gateway.fleet().set_gateways(names, time_of_day, now);
     if before != after {
         log::info!(before, after; "gateways_changed");
     }
+    before != after
 }
