Limit the requests to cold servers, all gateways together

Cause: a restarted server is idle beside full ones, so every gateway chose it.

Change: SlowStart, a rule beside the request limits that servers name. It takes a server for cold by its entry, its answers, a new run, a reopened zone or a failed connection, and divides the tolerated rate into whole evenly spaced requests of a window. The division by the list of gateways and the token bucket move to shared_rate, which ServerLimits uses unchanged. Refusals (cold_start) name the time of the next permit. server_cold, server_warm, siskinbend_cold_servers.

Ruled out: turns by the time of day, since clocks differ; equal shares for all gateways at low rates; saved-up bursts.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod report;
 pub mod send_rules;
 pub mod server_limits;
+mod shared_rate;
+pub mod slow_start;
 pub mod slowdown;
 pub mod subset;
 
@@ -44,3 +46,4 @@
 pub use send_rules::SendRule;
 pub use send_rules::SendRules;
 pub use server_limits::ServerLimits;
+pub use slow_start::SlowStart;
--- a/crates/routing/src/send_rules.rs
+++ b/crates/routing/src/send_rules.rs
@@ -8,6 +8,7 @@
 use siskinbend_types::Time;
 
 use crate::ServerLimits;
+use crate::SlowStart;
 
 /// Rule that withholds requests from some backend servers.
 pub trait SendRule: Send {
@@ -38,15 +39,17 @@
 pub struct SendRules {
     /// Request limits that backend servers name.
     pub limits: ServerLimits,
+    /// Slow start of cold backend servers.
+    pub slow_start: SlowStart,
 }
 
 impl SendRules {
-    fn all(&self) -> [&dyn SendRule; 1] {
-        [&self.limits]
+    fn all(&self) -> [&dyn SendRule; 2] {
+        [&self.limits, &self.slow_start]
     }
 
-    fn all_mut(&mut self) -> [&mut dyn SendRule; 1] {
-        [&mut self.limits]
+    fn all_mut(&mut self) -> [&mut dyn SendRule; 2] {
+        [&mut self.limits, &mut self.slow_start]
     }
 
     /// Lists the backend servers that may get no request now, by rule.
--- a/crates/routing/src/server_limits.rs
+++ b/crates/routing/src/server_limits.rs
@@ -16,7 +16,9 @@
 use smol_str::SmolStr;
 
 use crate::SendRule;
-use crate::subset::stable_hash;
+use crate::shared_rate::Gateways;
+use crate::shared_rate::Share;
+use crate::shared_rate::TokenBucket;
 
 /// Number of gateways that share even the lowest limit.
 const MIN_SHARING: usize = 2;
@@ -38,14 +40,47 @@
 /// How a gateway may use a server with a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Allowance {
-    /// Requests a second.
-    Share(f64),
+    /// Share of the limit.
+    Share(Share),
     /// A request in the slot with this number.
     Probe(u64),
     /// None at present.
     Nothing,
 }
 
+/// Gateways that share the limits, and the time by which they take turns.
+#[derive(Debug)]
+struct Division {
+    gateways: Gateways,
+    /// Time of day at the origin of this gateway's clock, since 1970.
+    clock_origin: Duration,
+}
+
+impl Division {
+    fn slot_number(&self, now: Time) -> u64 {
+        let time_of_day = self.clock_origin + now.since(Time::default());
+        time_of_day.as_secs() / PROBE_SLOT.as_secs()
+    }
+
+    /// Returns how this gateway may use a server, of whose limit it gets a share at position `rank`.
+    fn find_allowance(&self, limit: Rate, rank: usize, now: Time) -> Allowance {
+        let rate = limit.per_second();
+        // Saturates for limits beyond any number of gateways.
+        let sharing = MIN_SHARING.saturating_add(rate as usize);
+        if rate > 0.0 && rank < sharing {
+            return Allowance::Share(Share {
+                rate: rate / sharing.min(self.gateways.count()) as f64,
+                burst: BURST,
+            });
+        }
+        let slot = self.slot_number(now);
+        match self.gateways.has_turn(slot) {
+            true => Allowance::Probe(slot),
+            false => Allowance::Nothing,
+        }
+    }
+}
+
 /// Limit of one backend server, with the requests that this gateway may send.
 #[derive(Debug)]
 struct Limit {
@@ -54,8 +89,7 @@
     rank: usize,
     /// When the server named it last.
     named_at: Time,
-    tokens: f64,
-    refilled_at: Time,
+    bucket: TokenBucket,
     /// Number of the slot of the latest request.
     used_slot: u64,
 }
@@ -67,105 +101,40 @@
             rank,
             named_at: now,
             // This gateway has just sent the request whose answer named the limit.
-            tokens: 0.0,
-            refilled_at: now,
+            bucket: TokenBucket::new(now),
             used_slot,
         }
     }
 
     /// Whether a request may be sent now.
-    fn allows(&self, gateways: &Gateways, now: Time) -> bool {
-        match gateways.find_allowance(self.rate, self.rank, now) {
-            Allowance::Share(share) => self.count_tokens(share, now) >= 1.0,
+    fn allows(&self, division: &Division, now: Time) -> bool {
+        match division.find_allowance(self.rate, self.rank, now) {
+            Allowance::Share(share) => self.bucket.count(share, now) >= 1.0,
             Allowance::Probe(slot) => slot != self.used_slot,
             Allowance::Nothing => false,
         }
     }
 
-    /// Returns the requests that may be sent now, if this gateway may send `share` a second.
-    fn count_tokens(&self, share: f64, now: Time) -> f64 {
-        let added = share * now.since(self.refilled_at).as_secs_f64();
-        (self.tokens + added).min(1.0 + share * BURST.as_secs_f64())
-    }
-
     /// Adds what has been saved up until now, before the share changes.
-    fn refill(&mut self, gateways: &Gateways, now: Time) {
-        if let Allowance::Share(share) = gateways.find_allowance(self.rate, self.rank, now) {
-            self.tokens = self.count_tokens(share, now);
-        }
-        self.refilled_at = now;
-    }
-
-    fn record_dispatch(&mut self, gateways: &Gateways, now: Time) {
-        self.refill(gateways, now);
-        self.tokens = (self.tokens - 1.0).max(0.0);
-        self.used_slot = gateways.slot_number(now);
-    }
-}
-
-/// Gateways of the deployment, including this one.
-#[derive(Debug)]
-struct Gateways {
-    own: SmolStr,
-    names: BTreeSet<SmolStr>,
-    /// Position of this gateway's name.
-    turn: usize,
-    /// Time of day at the origin of this gateway's clock, since 1970.
-    clock_origin: Duration,
-}
-
-impl Gateways {
-    fn new(own: SmolStr) -> Gateways {
-        Gateways {
-            names: BTreeSet::from([own.clone()]),
-            own,
-            turn: 0,
-            clock_origin: Duration::ZERO,
-        }
-    }
-
-    fn slot_number(&self, now: Time) -> u64 {
-        let time_of_day = self.clock_origin + now.since(Time::default());
-        time_of_day.as_secs() / PROBE_SLOT.as_secs()
-    }
-
-    fn replace(&mut self, names: BTreeSet<SmolStr>) {
-        self.names = names;
-        self.names.insert(self.own.clone());
-        let earlier = self.names.iter().take_while(|name| **name < self.own);
-        self.turn = earlier.count();
+    fn refill(&mut self, division: &Division, now: Time) {
+        let share = match division.find_allowance(self.rate, self.rank, now) {
+            Allowance::Share(share) => Some(share),
+            Allowance::Probe(_) | Allowance::Nothing => None,
+        };
+        self.bucket.refill(share, now);
     }
 
-    /// Returns the position of this gateway in the order in which gateways get a share of a server's
-    /// limit. The order differs from server to server.
-    fn find_rank(&self, server: &AgentId) -> usize {
-        let order = |name: &SmolStr| (stable_hash((server, name)), name.clone());
-        let own = order(&self.own);
-        let earlier = self.names.iter().filter(|name| order(name) < own);
-        earlier.count()
-    }
-
-    /// Returns how this gateway may use a server, of whose limit it gets a share at position `rank`.
-    fn find_allowance(&self, limit: Rate, rank: usize, now: Time) -> Allowance {
-        let rate = limit.per_second();
-        // Saturates for limits beyond any number of gateways.
-        let sharing = MIN_SHARING.saturating_add(rate as usize);
-        let count = self.names.len();
-        if rate > 0.0 && rank < sharing {
-            return Allowance::Share(rate / sharing.min(count) as f64);
-        }
-        let slot = self.slot_number(now);
-        match slot % count as u64 == self.turn as u64 {
-            true => Allowance::Probe(slot),
-            false => Allowance::Nothing,
-        }
+    fn record_dispatch(&mut self, division: &Division, now: Time) {
+        self.refill(division, now);
+        self.bucket.take();
+        self.used_slot = division.slot_number(now);
     }
 }
 
 /// Limits of the backend servers, as their answers named them last.
 #[derive(Debug)]
 pub struct ServerLimits {
-    gateways: Gateways,
+    division: Division,
     limits: HashMap<AgentId, Limit>,
 }
 
@@ -173,7 +142,10 @@
     /// Creates the limits of the gateway named `own`, which knows of no other gateway.
     pub fn new(own: SmolStr) -> ServerLimits {
         ServerLimits {
-            gateways: Gateways::new(own),
+            division: Division {
+                gateways: Gateways::new(own),
+                clock_origin: Duration::ZERO,
+            },
             limits: HashMap::new(),
         }
     }
@@ -182,19 +154,19 @@
     /// `time_of_day` is the time since 1970, by which the gateways take turns.
     pub fn set_gateways(&mut self, names: BTreeSet<SmolStr>, time_of_day: Duration, now: Time) {
         for limit in self.limits.values_mut() {
-            limit.refill(&self.gateways, now);
+            limit.refill(&self.division, now);
         }
-        self.gateways.replace(names);
+        self.division.gateways.replace(names);
         let uptime = now.since(Time::default());
-        self.gateways.clock_origin = time_of_day.saturating_sub(uptime);
+        self.division.clock_origin = time_of_day.saturating_sub(uptime);
         for (server, limit) in &mut self.limits {
-            limit.rank = self.gateways.find_rank(server);
+            limit.rank = self.division.gateways.find_rank(server);
         }
     }
 
     /// Returns the number of gateways that share the limits.
     pub fn count_gateways(&self) -> usize {
-        self.gateways.names.len()
+        self.division.gateways.count()
     }
 
     /// Records an answer to an attempt that was sent at `sent_at`; it names a limit or none. Returns
@@ -213,13 +185,13 @@
         let previous = known.as_ref().map(|known| known.rate);
         match (known, limit) {
             (Some(known), Some(rate)) => {
-                known.refill(&self.gateways, now);
+                known.refill(&self.division, now);
                 known.rate = rate;
                 known.named_at = now;
             }
             (None, Some(rate)) => {
-                let rank = self.gateways.find_rank(server);
-                let slot = self.gateways.slot_number(now);
+                let rank = self.division.gateways.find_rank(server);
+                let slot = self.division.slot_number(now);
                 let limit = Limit::new(rate, rank, slot, now);
                 self.limits.insert(server.clone(), limit);
             }
@@ -246,13 +218,13 @@
         let exhausted = self
             .limits
             .iter()
-            .filter(|(_, l)| !l.allows(&self.gateways, now));
+            .filter(|(_, l)| !l.allows(&self.division, now));
         exhausted.map(|(server, _)| server.clone()).collect()
     }
 
     fn record_dispatch(&mut self, server: &AgentId, now: Time) {
         if let Some(limit) = self.limits.get_mut(server) {
-            limit.record_dispatch(&self.gateways, now);
+            limit.record_dispatch(&self.division, now);
         }
     }
 
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -198,7 +198,8 @@
     fn common_settings(&self, node: &str, ip: IpAddr, metrics_port: u16) -> String {
         format!(
             "node={node}\nip={ip}\nzone=a\nportRange={},{}\nplatform.address={}\n\
-             bounds.revokeMs=5000\nbounds.graceS=8\nbounds.retryRatio=0.2\nbounds.retrySlack=40\n",
+             bounds.revokeMs=5000\nbounds.graceS=8\nbounds.retryRatio=0.2\nbounds.retrySlack=40\n\
+             bounds.coldOverrun=1.5\nbounds.coldSlack=5\n",
             self.peer_port, metrics_port, self.address
         )
     }
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -60,6 +60,10 @@
     pub limit: Mutex<Option<f64>>,
     /// When each request arrived while there was a limit.
     limited_arrivals: Mutex<Vec<Instant>>,
+    /// Milliseconds that the answers state as the time for which the replica stays cold.
+    pub cold_ms: Mutex<Option<u64>>,
+    /// When each request arrived.
+    arrivals: Mutex<Vec<Instant>>,
     /// Part of a prompt on which the replica crashes as soon as it begins to answer.
     pub crash_part: Mutex<Option<String>>,
     /// End of a path on which the replica crashes as soon as it begins to answer.
@@ -101,6 +105,8 @@
             lose_answers: AtomicBool::new(false),
             limit: Mutex::default(),
             limited_arrivals: Mutex::default(),
+            cold_ms: Mutex::default(),
+            arrivals: Mutex::default(),
             crash_part: Mutex::default(),
             crash_path: Mutex::default(),
             crashes: AtomicU32::new(0),
@@ -155,6 +161,11 @@
         lock(&self.limited_arrivals).clone()
     }
 
+    /// Returns when requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.arrivals).clone()
+    }
+
     /// Returns the ids of the requests that arrived and on which the replica crashes.
     pub fn crash_requests(&self) -> Vec<String> {
         lock(&self.crash_requests).clone()
@@ -208,15 +219,25 @@
     }
 }
 
-/// Answers a request, and names the limit if there is one.
+/// Answers a request, and names the limit and the cold time if there are any.
 async fn run(State(replica): State<Arc<Replica>>, request: Request<Body>) -> Response {
+    lock(&replica.arrivals).push(Instant::now());
+    let mut response = run_limited(&replica, &request);
+    if let Some(cold_ms) = *lock(&replica.cold_ms) {
+        let headers = response.headers_mut();
+        headers.insert("x-cold-ms", cold_ms.into());
+    }
+    response
+}
+
+fn run_limited(replica: &Arc<Replica>, request: &Request<Body>) -> Response {
     let limit = *lock(&replica.limit);
     let Some(limit) = limit else {
-        return answer(&replica, &request);
+        return answer(replica, request);
     };
     lock(&replica.limited_arrivals).push(Instant::now());
     let head = [("server-limit", limit.to_string())];
-    (head, answer(&replica, &request)).into_response()
+    (head, answer(replica, request)).into_response()
 }
 
 fn answer(replica: &Arc<Replica>, request: &Request<Body>) -> Response {
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -167,6 +167,19 @@
             .to_owned()
     }
 
+    /// Changes the cold time in the entry of a registered replica.
+    ///
+    /// # Panics
+    /// The replica is not registered.
+    pub fn set_cold_time(&self, id: &str, cold_ms: u64) {
+        let key = ("servers".to_owned(), id.to_owned());
+        let value = lock(&self.rows).get(&key).and_then(|r| r.value.clone());
+        let value = value.expect("replica is registered");
+        let mut entry: Value = serde_json::from_slice(&value).expect("replica entry is JSON");
+        entry["coldRemainingMs"] = cold_ms.into();
+        self.put_json("servers", id, &entry);
+    }
+
     /// Sets how the store answers from now on.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.send_replace(mode);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -171,6 +171,7 @@
     let connection = match open_connection(gateway, call, &attempt).await {
         Ok(connection) => connection,
         Err(_) => {
+            attempt.record_connection_failure();
             attempt.finish(AttemptResult::Failed);
             return Ok(Err(FailedAttempt::new(attempt, AttemptFailure::NotSent)));
         }
@@ -279,6 +280,9 @@
             if failure == AttemptFailure::ConnectionLost {
                 crashes::record_loss(gateway, call, &attempt.target, AttemptStage::Waiting);
             }
+            if failure != AttemptFailure::Stalled {
+                attempt.record_connection_failure();
+            }
             attempt.finish(match failure {
                 AttemptFailure::Stalled => AttemptResult::Stalled,
                 _ => AttemptResult::Failed,
@@ -294,6 +298,7 @@
         // Another server may hold the address now; its answer says nothing about the target.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             fleet.record_server_limit(&attempt.target, head.limit, attempt.sent_at, now);
+            fleet.record_cold_answer(&attempt.target, head.cold_for, attempt.sent_at, now);
         }
         if let Some(load) = head.load {
             fleet.record_load(&attempt.target.id, Some(load), now);
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -114,6 +114,7 @@
             if error == ConnectionError::Broken {
                 // How much of the answer the server had written is unknown.
                 crashes::record_loss(gateway, call, &attempt.target, AttemptStage::Starting);
+                attempt.record_connection_failure();
             }
             attempt.finish(AttemptResult::Failed);
             return Err(AttemptFailure::ConnectionLost);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,5 +1,7 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
+mod slow_start;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -137,6 +139,7 @@
             replicas: BTreeMap::new(),
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
+                slow_start: slow_start::create(settings),
             },
         }
     }
@@ -173,6 +176,7 @@
             self.remove(&server.id);
         }
         self.remove_superseded(&server);
+        self.observe_start(&server, now);
         let report = LoadReport {
             slots: server.slots,
             ..LoadReport::default()
@@ -290,6 +294,7 @@
         time_of_day: Duration,
         now: Time,
     ) -> (usize, usize) {
+        self.rules.slow_start.set_gateways(names.clone());
         let limits = &mut self.rules.limits;
         let before = limits.count_gateways();
         limits.set_gateways(names, time_of_day, now);
@@ -303,6 +308,7 @@
 
     /// Repeats the latest load report of every backend server and closes expired idle connections.
     pub fn refresh(&mut self, now: Time) {
+        self.log_cold_changes(now);
         let ids: Vec<AgentId> = self.replicas.keys().cloned().collect();
         for id in ids {
             self.record_load(&id, None, now);
--- a/src/gateway/guards.rs
+++ b/src/gateway/guards.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Records that the connection to the backend server failed or broke.
+    pub fn record_connection_failure(&self) {
+        if let Some(gateway) = self.gateway.upgrade() {
+            let now = gateway.now();
+            gateway.fleet().record_connection_failure(&self.target, now);
+        }
+    }
+
     /// Records the result of the attempt; later calls have no effect.
     pub fn finish(&mut self, result: AttemptResult) {
         if std::mem::replace(&mut self.is_finished, true) {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -99,6 +99,11 @@
     if let Some((_, blocked_for)) = gateway.crashes.find_blocked(call, now) {
         return blocked_for;
     }
+    if reason == Reason::ColdStart
+        && let Some(delay) = gateway.fleet().find_cold_delay(&call.service, now)
+    {
+        return delay.min(call.time_left(now) / 3);
+    }
     let cause = match reason {
         Reason::QueueFull | Reason::ShareExceeded | Reason::ServerLimit => {
             retry_after::RefusalCause::Overloaded
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub gateways: Gauge,
     /// Backend servers that name a request limit.
     pub limited_servers: Gauge,
+    /// Cold backend servers, which get few requests.
+    pub cold_servers: Gauge,
     /// Blocked parts of prompts.
     pub blocked_parts: Gauge,
     /// Blocked requests.
@@ -84,6 +86,7 @@
             crashes: register(all, "server_crashes", "Crashes of backend servers"),
             gateways: register(all, "gateways", "Gateways that share request limits"),
             limited_servers: register(all, "limited_servers", "Servers with a request limit"),
+            cold_servers: register(all, "cold_servers", "Servers that have just started"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
             timeline: register(all, "store_timeline", "History of the store"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -142,6 +142,8 @@
             let limits = fleet.server_limits();
             self.metrics.gateways.set(limits.count_gateways() as i64);
             self.metrics.limited_servers.set(limits.count() as i64);
+            let cold = fleet.list_cold(now).len();
+            self.metrics.cold_servers.set(cold as i64);
             fleet.list_states(now)
         };
         self.metrics.update_gauges(version, age, &states);
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -180,6 +180,7 @@
         log::warn!(version:% = found, known:% = known; "config_not_taken");
     }
     if let Some(config) = newer {
+        gateway.fleet().configure_slow_start(&config);
         log::info!(
             version:% = config.version,
             routes = config.routes.values().map(Vec::len).sum::<usize>(),
@@ -218,7 +219,7 @@
                 gateway.record_timeline("servers", reached.after.timeline);
                 cursor = Some(reached);
                 let changed = !updates.is_empty();
-                gateway.fleet().apply(updates, now);
+                gateway.fleet().apply_read(updates, now);
                 if changed {
                     sleep(BATCH_DELAY).await;
                 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -174,6 +174,7 @@
                     if failure == AttemptFailure::ConnectionLost {
                         let stage = AttemptStage::of_stream(self.parts_read);
                         crashes::record_loss(&self.gateway, &self.call, &target, stage);
+                        self.attempt.record_connection_failure();
                     }
                     let resumed = match self.check_retry(&target, failure) {
                         Ok(()) => self.resume(failure.reason()).await,
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -133,16 +133,21 @@
 
     /// Waits until the metrics contain a line.
     pub async fn wait_for_metric(&self, line: &str) {
-        let started = Instant::now();
-        loop {
-            let caller = Caller::default();
-            let page = caller.call(self.metrics, "/metrics", "m").await.body;
-            if page.is_some_and(|text| text.lines().any(|l| l == line)) {
-                return;
-            }
-            assert!(started.elapsed() < EVENT_TIMEOUT, "no metric {line}");
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        wait_for_metric(self.metrics, line).await;
+    }
+}
+
+/// Waits until the metrics served at an address contain a line.
+pub async fn wait_for_metric(metrics: SocketAddr, line: &str) {
+    let started = Instant::now();
+    loop {
+        let caller = Caller::default();
+        let page = caller.call(metrics, "/metrics", "m").await.body;
+        if page.is_some_and(|text| text.lines().any(|l| l == line)) {
+            return;
         }
+        assert!(started.elapsed() < EVENT_TIMEOUT, "no metric {line}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
 
