--- a/crates/routing/src/send_rules.rs
+++ b/crates/routing/src/send_rules.rs
@@ -9,6 +9,7 @@
 
 use crate::Pauses;
 use crate::ServerLimits;
+use crate::SlowStart;
 use crate::Withdrawals;
 
 /// Rule that withholds requests from some backend servers.
@@ -40,6 +41,8 @@
 pub struct SendRules {
     /// Request limits that backend servers name.
     pub limits: ServerLimits,
+    /// Slow start of cold backend servers.
+    pub slow_start: SlowStart,
     /// Pauses that backend servers have asked for.
     pub pauses: Pauses,
     /// Backend servers that say that they are leaving.
@@ -49,12 +52,22 @@
 impl SendRules {
     /// Rules that hold for good come last: where several leave no server, the caller is told when the
     /// first of the others lets requests through again.
-    fn all(&self) -> [&dyn SendRule; 3] {
-        [&self.limits, &self.pauses, &self.withdrawals]
+    fn all(&self) -> [&dyn SendRule; 4] {
+        [
+            &self.limits,
+            &self.slow_start,
+            &self.pauses,
+            &self.withdrawals,
+        ]
     }
 
-    fn all_mut(&mut self) -> [&mut dyn SendRule; 3] {
-        [&mut self.limits, &mut self.pauses, &mut self.withdrawals]
+    fn all_mut(&mut self) -> [&mut dyn SendRule; 4] {
+        [
+            &mut self.limits,
+            &mut self.slow_start,
+            &mut self.pauses,
+            &mut self.withdrawals,
+        ]
     }
 
     /// Lists the backend servers that may get no request now, by rule.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod queue;
 mod signals;
+mod slow_start;
 mod state;
 mod zones;
 
@@ -165,6 +166,7 @@
             replicas: BTreeMap::new(),
             rules: SendRules {
                 limits: ServerLimits::new(settings.node.clone()),
+                slow_start: slow_start::create(settings),
                 pauses: Pauses::default(),
                 withdrawals: Withdrawals::default(),
             },
@@ -213,6 +215,7 @@
             self.remove(&server.id);
         }
         self.remove_superseded(&server);
+        self.observe_start(&server, now);
         let report = LoadReport {
             slots: server.slots,
             ..LoadReport::default()
@@ -307,6 +310,7 @@
         time_of_day: Duration,
         now: Time,
     ) -> (usize, usize) {
+        self.rules.slow_start.set_gateways(names.clone());
         let limits = &mut self.rules.limits;
         let before = limits.count_gateways();
         limits.set_gateways(names, time_of_day, now);
@@ -320,6 +324,7 @@
 
     /// Repeats the latest load report of every backend server and closes expired idle connections.
     pub fn refresh(&mut self, now: Time) {
+        self.log_cold_changes(now);
         let ids: Vec<AgentId> = self.replicas.keys().cloned().collect();
         for id in ids {
             self.observe_run(&id, now);
--- a/src/gateway/fleet/zones.rs
+++ b/src/gateway/fleet/zones.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Records that the evacuation of a zone was withdrawn. A rule that applies to the servers of the
-    /// zone from then on, such as a slow start, is told of them here.
+    /// Records that the evacuation of a zone was withdrawn. Its servers may have become cold shortly
+    /// before.
     fn reopen(&mut self, zone: Zone, evacuated_at: Time, now: Time) {
         let servers = self.list_servers_in(&zone);
         log::info!(
@@ -67,6 +67,7 @@
             servers = servers.len();
             "zone_reopened"
         );
+        self.rules.slow_start.record_reopened(&servers, now);
         if !servers.is_empty() {
             self.zones.reopened.insert(zone, now);
         }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -124,6 +124,11 @@
     if let Some(delay) = returns::book(gateway, call, reason, now) {
         return delay;
     }
+    if reason == Reason::ColdStart
+        && let Some(delay) = gateway.fleet().find_cold_delay(&call.service, now)
+    {
+        return delay.min(call.time_left(now) / 3);
+    }
     let cause = match reason {
         Reason::QueueFull
         | Reason::ShareExceeded
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub paused_servers: Gauge,
     /// Malformed headers of backend servers.
     pub ignored_headers: IgnoredHeaders,
+    /// Cold backend servers, which get few requests.
+    pub cold_servers: Gauge,
     /// Blocked parts of prompts.
     pub blocked_parts: Gauge,
     /// Blocked requests.
@@ -96,6 +98,7 @@
             leaving_servers: register(all, "leaving_servers", "Servers that say that they leave"),
             paused_servers: register(all, "paused_servers", "Servers that asked for a pause"),
             ignored_headers: register(all, "ignored_headers", "Malformed headers of servers"),
+            cold_servers: register(all, "cold_servers", "Servers that have just started"),
             blocked_parts: register(all, "blocked_prompt_parts", "Blocked parts of prompts"),
             blocked_requests: register(all, "blocked_requests", "Blocked requests"),
             standstills: register(all, "group_standstills", "Standstills of groups"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -158,6 +158,8 @@
             self.metrics.paused_servers.set(paused as i64);
             let standstills = &self.metrics.standstills;
             standstills.inc_by(fleet.standstills().saturating_sub(standstills.get()));
+            let cold = fleet.list_cold(now).len();
+            self.metrics.cold_servers.set(cold as i64);
             fleet.list_states(now)
         };
         self.metrics.update_gauges(version, age, &states);
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -6,9 +6,12 @@
 use std::fmt::Display;
 use std::time::Duration;
 
+use siskinbend_routing::slow_start::ColdServer;
+use siskinbend_site::ZoneStatus;
 use siskinbend_types::Time;
 
 use super::Gateway;
+use super::evacuations;
 use super::fleet::GroupState;
 use super::fleet::LeavingServer;
 use super::fleet::LimitedServer;
@@ -72,6 +75,19 @@
     }
 }
 
+impl Note for ColdServer {
+    fn line(&self) -> String {
+        let (server, cause, left_ms) = (&self.id, self.cause, millis(self.left));
+        format!("server={server} state=cold cause={cause} left_ms={left_ms}")
+    }
+}
+
+impl Note for ZoneStatus {
+    fn line(&self) -> String {
+        format!("zone={} state={}", self.zone, self.state)
+    }
+}
+
 fn optional<Number>(number: Option<Number>) -> String
 where
     Number: Display,
@@ -92,13 +108,16 @@
 
 /// Lists the lines of the page.
 fn list_notes(gateway: &Gateway, now: Time) -> Vec<String> {
+    let zones = evacuations::list_zones(gateway, now);
     let fleet = gateway.fleet();
     let mut notes = Vec::new();
+    notes.extend(lines(zones));
     notes.extend(lines(fleet.list_states(now)));
     notes.extend(lines(fleet.list_groups(now)));
     notes.extend(lines(fleet.list_leaving(now)));
     notes.extend(lines(fleet.list_paused(now)));
     notes.extend(lines(fleet.list_limited()));
+    notes.extend(lines(fleet.list_cold(now)));
     notes
 }
 
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -212,6 +212,7 @@
     }
     if let Some(config) = newer {
         gateway.fleet().set_prioritised(&config.list_prioritised());
+        gateway.fleet().configure_slow_start(&config);
         log::info!(
             version:% = config.version,
             routes = config.routes.values().map(Vec::len).sum::<usize>(),
@@ -250,7 +251,7 @@
                 gateway.record_timeline("servers", reached.after.timeline);
                 cursor = Some(reached);
                 let changed = !updates.is_empty();
-                gateway.fleet().apply(updates, now);
+                gateway.fleet().apply_read(updates, now);
                 if changed {
                     sleep(BATCH_DELAY).await;
                 }
--- a/tests/integration/deployment.rs
+++ b/tests/integration/deployment.rs
@@ -146,7 +146,8 @@
     }
 }
 
-async fn wait_for_metric(metrics: SocketAddr, line: &str) {
+/// Waits until the metrics served at an address contain a line.
+pub async fn wait_for_metric(metrics: SocketAddr, line: &str) {
     let started = Instant::now();
     loop {
         let caller = Caller::default();
--- a/tests/integration/server_signals.rs
+++ b/tests/integration/server_signals.rs
@@ -10,8 +10,10 @@
 use siskinbend_routing::SendRule;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
+use siskinbend_routing::SlowStart;
 use siskinbend_routing::Withdrawals;
 use siskinbend_routing::send_rules::find_cause;
+use siskinbend_routing::slow_start::Tolerance;
 use siskinbend_site::HeaderCodec;
 use siskinbend_site::ResponseHead;
 use siskinbend_types::AgentId;
@@ -120,6 +122,13 @@
 fn pause_is_named_before_leaving() {
     let mut rules = SendRules {
         limits: ServerLimits::new("edge-0".into()),
+        slow_start: SlowStart::new(
+            "edge-0".into(),
+            Tolerance {
+                overrun: 1.0,
+                slack: 0.0,
+            },
+        ),
         pauses: Pauses::default(),
         withdrawals: Withdrawals::default(),
     };
