--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Whether any service needs a slow start.
+    pub fn is_configured(&self) -> bool {
+        !self.limits.is_empty()
+    }
+
     /// Sets the services whose backend servers need a slow start.
     pub fn configure(&mut self, limits: HashMap<ServiceName, Limit>) {
         self.limits = limits;
--- a/src/gateway/fleet/slow_start.rs
+++ b/src/gateway/fleet/slow_start.rs
@@ -34,8 +34,8 @@
 }
 
 impl Fleet {
-    /// Sets which services need a slow start.
-    pub fn configure_slow_start(&mut self, config: &Config) {
+    /// Sets which services need a slow start. Returns whether some do and none did before.
+    pub fn configure_slow_start(&mut self, config: &Config) -> bool {
         let limits = config.services.iter().filter_map(|service| {
             let slow_start = service.slow_start?;
             let limit = Limit {
@@ -45,7 +45,9 @@
             Some((service.name.clone(), limit))
         });
         let limits: HashMap<ServiceName, Limit> = limits.collect();
+        let is_added = !limits.is_empty() && !self.rules.slow_start.is_configured();
         self.rules.slow_start.configure(limits);
+        is_added
     }
 
     /// Applies what a read or a watch of the registry returned. The first read is complete.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -8,6 +8,7 @@
 use siskinbend_site::Member;
 use siskinbend_site::SourceError;
 use smol_str::SmolStr;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::Gateway;
@@ -16,9 +17,12 @@
 
 /// Interval at which a gateway states that it runs and reads which others do.
 const INTERVAL: Duration = Duration::from_secs(25);
-/// First interval after a start or a change of the list; it doubles up to [`INTERVAL`]. Gateways that
-/// start together each miss those that state it after their first read.
+/// First interval after a start or a change of the list, if there are services with a slow start; it
+/// doubles up to [`INTERVAL`]. Gateways that start together each miss those that state it after their
+/// first read.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the task checks whether the configuration is known.
+const CONFIG_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of a statement from which its gateway no longer shares limits. It spans several statements, so
 /// that one that was missed or is read late does not change the shares.
 const MAX_AGE: Duration = Duration::from_secs(80);
@@ -28,25 +32,43 @@
 /// Announces this gateway and reads which others run.
 pub(super) async fn run(gateway: Arc<Gateway>) {
     let mut backoff = Backoff::new("gateways");
-    let mut interval = MIN_INTERVAL;
+    let mut interval: Option<Duration> = None;
     let mut timeline = gateway.timeline.subscribe();
     loop {
         match update(&gateway).await {
             Ok(has_changed) => {
                 backoff.reset(gateway.now());
-                if has_changed {
-                    interval = MIN_INTERVAL;
-                }
+                let next = match interval {
+                    Some(latest) if !has_changed => (latest * 2).min(INTERVAL),
+                    _ => find_first_interval(&gateway).await,
+                };
+                interval = Some(next);
                 // A restored store may have lost the statement. The gateway outlives this task, so
                 // the wait ends only with a change.
-                let _ = timeout(interval, timeline.changed()).await;
-                interval = (interval * 2).min(INTERVAL);
+                tokio::select! {
+                    _ = timeout(next, timeline.changed()) => {}
+                    () = gateway.slow_start_added.notified() => interval = None,
+                }
             }
             Err(error) => backoff.wait(error, gateway.now()).await,
         }
     }
 }
 
+/// Returns the interval until the list is read again after it changed.
+async fn find_first_interval(gateway: &Gateway) -> Duration {
+    loop {
+        if let Some(config) = gateway.config() {
+            let has_slow_start = config.services.iter().any(|s| s.slow_start.is_some());
+            return match has_slow_start {
+                true => MIN_INTERVAL,
+                false => INTERVAL,
+            };
+        }
+        sleep(CONFIG_CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns whether the number of gateways has changed.
 async fn update(gateway: &Arc<Gateway>) -> Result<bool, SourceError> {
     let membership = &gateway.adapter.membership;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 use siskinbend_site::view;
 use siskinbend_types::Time;
 use siskinbend_types::Timeline;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::clock::BootClock;
@@ -91,6 +92,8 @@
     view: Mutex<DeploymentView>,
     fleet: Mutex<Fleet>,
     crashes: Crashes,
+    /// Notified when the configuration has a slow start for the first time, or again.
+    slow_start_added: Notify,
 }
 
 /// Why a gateway cannot start.
@@ -206,6 +209,7 @@
         started_ms: unix_millis(),
         metrics: Metrics::default(),
         crashes: Crashes::default(),
+        slow_start_added: Notify::new(),
         shutdown,
         settings,
         adapter,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -212,7 +212,9 @@
     }
     if let Some(config) = newer {
         gateway.fleet().set_prioritised(&config.list_prioritised());
-        gateway.fleet().configure_slow_start(&config);
+        if gateway.fleet().configure_slow_start(&config) {
+            gateway.slow_start_added.notify_one();
+        }
         log::info!(
             version:% = config.version,
             routes = config.routes.values().map(Vec::len).sum::<usize>(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -27,6 +27,7 @@
 mod graceful_drain;
 mod group_choice;
 mod group_directory;
+mod group_room;
 mod group_shell;
 mod group_standstill;
 mod half_cut_link;
