Enforce the room of a group by its load

Change: a group whose load has reached its room takes no new request, in the choice of a server and in the queue alike.

--- a/crates/routing/src/group_limits.rs
+++ b/crates/routing/src/group_limits.rs
@@ -14,10 +14,6 @@
 use crate::Picker;
 use crate::group_room::RoomChange;
 
-/// Utilisation of a group's slots from which its concurrency limit is enforced. While slots are
-/// free, late responses have other causes than overload.
-const BUSY_UTILISATION: f64 = 0.6;
-
 /// Limits by group; the key `None` stands for the replicas that are in no known group.
 #[derive(Debug, Default)]
 pub struct GroupLimits {
@@ -35,7 +31,7 @@
         Estimate: Fn(Option<&EngineGroup>) -> f64,
     {
         let is_full = |(group, limit): &(&Option<EngineGroup>, &ConcurrencyLimit)| {
-            limit.is_reached() && estimate_load(group.as_ref()) >= BUSY_UTILISATION
+            limit.can_be_full() && limit.is_full(estimate_load(group.as_ref()))
         };
         let full = self.limits.iter().filter(is_full);
         full.map(|(group, _)| group.clone()).collect()
@@ -56,16 +52,11 @@
                 continue;
             }
             seen.push(group);
-            let limit = self
-                .limits
-                .get(group)
-                .and_then(ConcurrencyLimit::count_free);
-            let Some(count) = limit else {
+            let load = picker.estimate_load(group.as_ref(), closed_zones);
+            let limit = self.limits.get(group);
+            let Some(count) = limit.and_then(|limit| limit.count_free(load)) else {
                 return Some(u32::MAX);
             };
-            if picker.estimate_load(group.as_ref(), closed_zones) < BUSY_UTILISATION {
-                return Some(u32::MAX);
-            }
             free = Some(free.unwrap_or(0).saturating_add(count));
         }
         free
@@ -76,7 +67,9 @@
         self.has_rooms = has_rooms;
         if !has_rooms {
             self.rooms.clear();
-            self.limits.values_mut().for_each(ConcurrencyLimit::uncap);
+            self.limits
+                .values_mut()
+                .for_each(ConcurrencyLimit::clear_room);
         }
     }
 
@@ -105,8 +98,7 @@
             return None;
         }
         let change = room.record_pause(ratio, estimate_load(group.as_ref()), now)?;
-        // Each gateway gets a share of the room by what it has in flight.
-        limit.cap(change.room / change.load.max(f64::MIN_POSITIVE));
+        limit.set_room(change.room, change.load);
         Some(change)
     }
 
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -11,6 +11,12 @@
 use crate::Standstill;
 use crate::standstill::StandstillTracker;
 
+/// Utilisation of a group's slots from which its concurrency limit is enforced. While slots are
+/// free, late responses have other causes than overload.
+const BUSY_UTILISATION: f64 = 0.6;
+/// Utilisation up to which the room of a group is not enforced. The room is known only roughly while
+/// there are few requests.
+const MIN_ROOM: f64 = 0.66;
 /// Time before the first report of a standstill in which it may already have begun: groups are asked
 /// for their state every 300 ms.
 const REPORT_DELAY: Duration = Duration::from_millis(400);
@@ -83,8 +89,9 @@
     last_decrease: Time,
     /// The limit before the last decrease.
     limit_before: Option<f64>,
-    /// Bound on the limit from the room of the group.
-    cap: Option<f64>,
+    /// Room of the group in requests per slot, and the number of requests of this gateway that fits
+    /// into it.
+    room: Option<(f64, f64)>,
     standstills: StandstillTracker,
     /// Number of requests in flight at the latest data of the group.
     running_at_data: u32,
@@ -123,33 +130,50 @@
 
     /// Whether as many requests are in flight as the limit allows.
     pub fn is_reached(&self) -> bool {
-        self.capped()
+        self.limit
             .is_some_and(|limit| f64::from(self.in_flight) >= limit + f64::from(self.allowance.0))
     }
 
-    /// Number of requests that may be admitted; `None` without a limit.
-    pub fn count_free(&self) -> Option<u32> {
-        let limit = self.capped()? + f64::from(self.allowance.0);
+    /// Whether the group is full at some load.
+    pub fn can_be_full(&self) -> bool {
+        self.is_reached() || self.room.is_some()
+    }
+
+    /// Whether the group takes no new requests at a load, in requests per slot.
+    pub fn is_full(&self, load: f64) -> bool {
+        self.is_reached() && load >= BUSY_UTILISATION || self.exceeds_room(load)
+    }
+
+    /// Number of requests that may be admitted at a load, in requests per slot; `None` if it is not
+    /// limited.
+    pub fn count_free(&self, load: f64) -> Option<u32> {
+        if self.exceeds_room(load) {
+            return Some(0);
+        }
+        if load < BUSY_UTILISATION {
+            return None;
+        }
+        let limit = self.limit? + f64::from(self.allowance.0);
         Some((limit.ceil() as u32).saturating_sub(self.in_flight))
     }
 
-    /// Bounds the limit by a multiple of the requests in flight.
-    pub fn cap(&mut self, multiple: f64) {
-        let cap = f64::from(self.in_flight) * multiple;
-        self.cap = Some(cap.max(self.settings.min_limit));
+    /// Sets the room of the group, measured at a load, both in requests per slot.
+    pub fn set_room(&mut self, room: f64, load: f64) {
+        let share = f64::from(self.in_flight) * room / load.max(f64::MIN_POSITIVE);
+        self.room = Some((room, share.max(self.settings.min_limit)));
     }
 
-    /// Removes the bound on the limit.
-    pub fn uncap(&mut self) {
-        self.cap = None;
+    /// Forgets the room of the group.
+    pub fn clear_room(&mut self) {
+        self.room = None;
     }
 
-    /// Returns the limit within its bound.
-    fn capped(&self) -> Option<f64> {
-        match (self.limit, self.cap) {
-            (Some(limit), Some(cap)) => Some(limit.min(cap)),
-            (limit, cap) => limit.or(cap),
-        }
+    /// Whether the group has no room at a load. A gateway without requests there can't tell.
+    fn exceeds_room(&self, load: f64) -> bool {
+        self.in_flight > 0
+            && self
+                .room
+                .is_some_and(|(room, _)| load >= room.max(MIN_ROOM))
     }
 
     /// Records whether the group is open. Returns the standstill that ended.
@@ -249,7 +273,12 @@
 
     /// The current limit, if there is one.
     pub fn limit(&self) -> Option<u32> {
-        self.capped().map(|limit| limit as u32)
+        let share = self.room.map(|(_, share)| share);
+        let limit = match (self.limit, share) {
+            (Some(limit), Some(share)) => Some(limit.min(share)),
+            (limit, share) => limit.or(share),
+        };
+        limit.map(|limit| limit as u32)
     }
 
     fn adapt(&mut self, window: &LimitChange, now: Time) {
