Mend what the read-through of the admission control and the slow start found

Cause, each by reading the code: a group in an evacuated zone counted as free, so that streams started that no group could take; just below the room of a group all waiting streams were started at once; pauses without a goal counted as zero; the end of a pause was looked for in evacuated zones too; a room without recent measurements stayed in force; server_cold named no service, so that explain left it out.

Change: each mended; tests evacuated_group_is_not_free, little_room_starts_few and pauses_without_goal_count_for_nothing. The choice of a server has a module of its own; leaving servers are LeavingRuns, as withdrawal means the end of an evacuation.

--- a/crates/routing/src/group_limits.rs
+++ b/crates/routing/src/group_limits.rs
@@ -47,7 +47,7 @@
     ) -> Option<u32> {
         let mut seen: Vec<&Option<EngineGroup>> = Vec::new();
         let mut free: Option<u32> = None;
-        for group in picker.list_groups() {
+        for group in picker.list_groups(closed_zones) {
             if seen.contains(&group) || closed.contains(group) {
                 continue;
             }
@@ -73,13 +73,24 @@
         }
     }
 
-    /// Records a pause within an answer of a group, as a multiple of its goal, that began at `since`.
+    /// Forgets rooms without a recent measurement.
+    pub fn expire_rooms(&mut self, now: Time) {
+        let expired = self.rooms.iter().filter(|(_, r)| r.room(now).is_none());
+        for (group, _) in expired {
+            if let Some(limit) = self.limits.get_mut(group) {
+                limit.clear_room();
+            }
+        }
+    }
+
+    /// Records a pause within an answer of a group, as a multiple of its goal if it has one, that began
+    /// at `since`.
     /// `estimate_load` returns the requests per slot of the group. Returns the measurements of the
     /// room if a window has ended.
     pub fn record_pause<Estimate>(
         &mut self,
         group: &Option<EngineGroup>,
-        ratio: f64,
+        ratio: Option<f64>,
         since: Time,
         estimate_load: Estimate,
         now: Time,
@@ -88,7 +99,7 @@
         Estimate: FnOnce(Option<&EngineGroup>) -> f64,
     {
         let limit = self.limits.entry(group.clone()).or_default();
-        let is_counted = limit.record_pause(ratio > 1.0, since);
+        let is_counted = limit.record_pause(ratio.is_some_and(|r| r > 1.0), since);
         if !self.has_rooms {
             return None;
         }
@@ -97,7 +108,7 @@
             room.restart(now);
             return None;
         }
-        let change = room.record_pause(ratio, estimate_load(group.as_ref()), now)?;
+        let change = room.record_pause(ratio?, estimate_load(group.as_ref()), now)?;
         limit.set_room(change.room, change.load);
         Some(change)
     }
--- a/crates/routing/src/group_room.rs
+++ b/crates/routing/src/group_room.rs
@@ -20,13 +20,15 @@
     /// Standard deviations between the mean pause and one that counts as the longest. An answer has
     /// tens of pauses and is late if a single one is.
     pub deviations: f64,
-    /// Largest pause, as a multiple of its goal, that is evaluated. Longer ones have other causes
+    /// Value to which longer pauses, as multiples of their goal, are reduced: they have other causes
     /// than the number of requests, such as a switch of the expert map.
     pub max_ratio: f64,
-    /// Weight of a new window in the smoothed room if it is smaller, and if it is larger. Room that
-    /// was short for a moment, because other experts were in demand than the map was made for, will
-    /// be short again.
-    pub smoothing: (f64, f64),
+    /// Weight of a new window that is smaller than the smoothed room. It is high, because room that
+    /// was short for a moment, while other experts were in demand than the map was made for, will be
+    /// short again.
+    pub fall_weight: f64,
+    /// Weight of a new window that is larger.
+    pub rise_weight: f64,
     /// Age at which a measurement no longer counts.
     pub max_age: Duration,
 }
@@ -38,7 +40,8 @@
             min_pauses: 20,
             deviations: 2.0,
             max_ratio: 1.6,
-            smoothing: (0.7, 0.08),
+            fall_weight: 0.7,
+            rise_weight: 0.08,
             max_age: Duration::from_secs(3),
         }
     }
@@ -128,10 +131,9 @@
         // to the load. While pauses are short this underestimates the room; it becomes exact as they
         // approach their goal.
         let measured = load / longest.max(f64::MIN_POSITIVE);
-        let (falling, rising) = self.settings.smoothing;
         let room = match self.room(now) {
-            Some(room) if measured < room => room + (measured - room) * falling,
-            Some(room) => room + (measured - room) * rising,
+            Some(room) if measured < room => room + (measured - room) * self.settings.fall_weight,
+            Some(room) => room + (measured - room) * self.settings.rise_weight,
             None => measured,
         };
         self.room = Some((room, now));
--- a/crates/routing/src/withdrawal.rs
+++ b/crates/routing/src/leaving.rs
@@ -19,7 +19,7 @@
 
 /// Leaving run of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Withdrawal {
+pub struct LeavingRun {
     /// The run.
     pub run: Incarnation,
     /// When an answer first said that it leaves.
@@ -32,24 +32,24 @@
 
 /// Leaving backend servers, as far as their answers to this gateway said so.
 #[derive(Debug, Default)]
-pub struct Withdrawals {
-    leaving: BTreeMap<AgentId, Withdrawal>,
+pub struct LeavingRuns {
+    leaving: BTreeMap<AgentId, LeavingRun>,
 }
 
-impl Withdrawals {
+impl LeavingRuns {
     /// Records that a run of a backend server is leaving. Returns whether this was not known.
     pub fn record(&mut self, server: &AgentId, run: Incarnation, now: Time) -> bool {
-        let is_known = |known: &Withdrawal| known.run == run;
+        let is_known = |known: &LeavingRun| known.run == run;
         if self.leaving.get(server).is_some_and(is_known) {
             return false;
         }
-        let withdrawal = Withdrawal {
+        let leaving = LeavingRun {
             run,
             since: now,
             registered_at: now,
             is_registered: true,
         };
-        self.leaving.insert(server.clone(), withdrawal);
+        self.leaving.insert(server.clone(), leaving);
         true
     }
 
@@ -74,12 +74,12 @@
     }
 
     /// Lists the leaving backend servers, also those that are no longer registered.
-    pub fn list(&self) -> impl Iterator<Item = (&AgentId, &Withdrawal)> {
+    pub fn list(&self) -> impl Iterator<Item = (&AgentId, &LeavingRun)> {
         self.leaving.iter()
     }
 }
 
-impl SendRule for Withdrawals {
+impl SendRule for LeavingRuns {
     fn reason(&self) -> Reason {
         Reason::Draining
     }
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -18,7 +18,7 @@
 /// there are few requests.
 const MIN_ROOM: f64 = 0.66;
 /// Time before the first report of a standstill in which it may already have begun: groups are asked
-/// for their state every 300 ms.
+/// for their state every 300 ms, and the answer takes up to 100 ms.
 const REPORT_DELAY: Duration = Duration::from_millis(400);
 /// Time for which the requests that a standstill held up are admitted beyond the limit, so that they
 /// take no place of requests that arrive after it.
@@ -78,6 +78,15 @@
     pub mean_ratio: f64,
 }
 
+/// Room of the group of a limit.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    /// Requests per slot, of all gateways.
+    per_slot: f64,
+    /// Number of requests of this gateway that fit into it.
+    own_share: f64,
+}
+
 /// The limit of one gateway for one service or one lock-step group.
 #[derive(Debug, Clone, Default)]
 pub struct ConcurrencyLimit {
@@ -89,9 +98,7 @@
     last_decrease: Time,
     /// The limit before the last decrease.
     limit_before: Option<f64>,
-    /// Room of the group in requests per slot, and the number of requests of this gateway that fits
-    /// into it.
-    room: Option<(f64, f64)>,
+    room: Option<Room>,
     standstills: StandstillTracker,
     /// Number of requests in flight at the latest data of the group.
     running_at_data: u32,
@@ -134,33 +141,37 @@
             .is_some_and(|limit| f64::from(self.in_flight) >= limit + f64::from(self.allowance.0))
     }
 
-    /// Whether the group is full at some load.
+    /// Whether [`ConcurrencyLimit::is_full`] can be true at any load, so that the load has to be
+    /// estimated.
     pub fn can_be_full(&self) -> bool {
         self.is_reached() || self.room.is_some()
     }
 
     /// Whether the group takes no new requests at a load, in requests per slot.
     pub fn is_full(&self, load: f64) -> bool {
-        self.is_reached() && load >= BUSY_UTILISATION || self.exceeds_room(load)
+        self.is_reached() && load >= BUSY_UTILISATION || self.count_in_room(load) == Some(0)
     }
 
     /// Number of requests that may be admitted at a load, in requests per slot; `None` if it is not
     /// limited.
     pub fn count_free(&self, load: f64) -> Option<u32> {
-        if self.exceeds_room(load) {
-            return Some(0);
-        }
         if load < BUSY_UTILISATION {
             return None;
         }
-        let limit = self.limit? + f64::from(self.allowance.0);
-        Some((limit.ceil() as u32).saturating_sub(self.in_flight))
+        let in_limit = self.limit.map(|limit| {
+            let limit = limit + f64::from(self.allowance.0);
+            (limit.ceil() as u32).saturating_sub(self.in_flight)
+        });
+        in_limit.into_iter().chain(self.count_in_room(load)).min()
     }
 
     /// Sets the room of the group, measured at a load, both in requests per slot.
-    pub fn set_room(&mut self, room: f64, load: f64) {
-        let share = f64::from(self.in_flight) * room / load.max(f64::MIN_POSITIVE);
-        self.room = Some((room, share.max(self.settings.min_limit)));
+    pub fn set_room(&mut self, per_slot: f64, load: f64) {
+        let share = f64::from(self.in_flight) * per_slot / load.max(f64::MIN_POSITIVE);
+        self.room = Some(Room {
+            per_slot,
+            own_share: share.max(self.settings.min_limit),
+        });
     }
 
     /// Forgets the room of the group.
@@ -168,12 +179,17 @@
         self.room = None;
     }
 
-    /// Whether the group has no room at a load. A gateway without requests there can't tell.
-    fn exceeds_room(&self, load: f64) -> bool {
-        self.in_flight > 0
-            && self
-                .room
-                .is_some_and(|(room, _)| load >= room.max(MIN_ROOM))
+    /// Number of requests for which the group has room at a load, as this gateway's share of it; at
+    /// least one while there is any. `None` if the room is not known. A gateway without requests
+    /// there can't tell.
+    fn count_in_room(&self, load: f64) -> Option<u32> {
+        let room = self.room.filter(|_| self.in_flight > 0)?;
+        let per_slot = room.per_slot.max(MIN_ROOM);
+        if load >= per_slot {
+            return Some(0);
+        }
+        let free = f64::from(self.in_flight) * (per_slot / load.max(f64::MIN_POSITIVE) - 1.0);
+        Some(free.max(1.0) as u32)
     }
 
     /// Records whether the group is open. Returns the standstill that ended.
@@ -273,7 +289,7 @@
 
     /// The current limit, if there is one.
     pub fn limit(&self) -> Option<u32> {
-        let share = self.room.map(|(_, share)| share);
+        let share = self.room.map(|room| room.own_share);
         let limit = match (self.limit, share) {
             (Some(limit), Some(share)) => Some(limit.min(share)),
             (limit, share) => limit.or(share),
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -240,10 +240,11 @@
         self.replicas.get(agent)?.group.as_ref()
     }
 
-    /// Returns the lock-step group of each replica that does not drain; groups occur repeatedly.
-    pub fn list_groups(&self) -> impl Iterator<Item = &Option<EngineGroup>> {
-        let active = self.replicas.values().filter(|r| !r.draining);
-        active.map(|r| &r.group)
+    /// Returns the lock-step group of each replica that does not drain and is in none of the closed
+    /// zones; groups occur repeatedly.
+    pub fn list_groups(&self, closed_zones: &[Zone]) -> impl Iterator<Item = &Option<EngineGroup>> {
+        let is_active = |r: &&Replica| !r.draining && !closed_zones.contains(&r.zone);
+        self.replicas.values().filter(is_active).map(|r| &r.group)
     }
 
     /// Removes a replica.
--- a/crates/routing/src/send_rules.rs
+++ b/crates/routing/src/send_rules.rs
@@ -7,10 +7,10 @@
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
 
+use crate::LeavingRuns;
 use crate::Pauses;
 use crate::ServerLimits;
 use crate::SlowStart;
-use crate::Withdrawals;
 
 /// Rule that withholds requests from some backend servers.
 pub trait SendRule: Send {
@@ -46,19 +46,14 @@
     /// Pauses that backend servers have asked for.
     pub pauses: Pauses,
     /// Backend servers that say that they are leaving.
-    pub withdrawals: Withdrawals,
+    pub leaving: LeavingRuns,
 }
 
 impl SendRules {
     /// Rules that hold for good come last: where several leave no server, the caller is told when the
     /// first of the others lets requests through again.
     fn all(&self) -> [&dyn SendRule; 4] {
-        [
-            &self.limits,
-            &self.slow_start,
-            &self.pauses,
-            &self.withdrawals,
-        ]
+        [&self.limits, &self.slow_start, &self.pauses, &self.leaving]
     }
 
     fn all_mut(&mut self) -> [&mut dyn SendRule; 4] {
@@ -66,7 +61,7 @@
             &mut self.limits,
             &mut self.slow_start,
             &mut self.pauses,
-            &mut self.withdrawals,
+            &mut self.leaving,
         ]
     }
 
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -93,6 +93,8 @@
 pub struct ColdServer {
     /// Id of the server.
     pub id: AgentId,
+    /// Its service.
+    pub service: ServiceName,
     /// Time left until it is warm. While an answer is awaited after a failed connection, the time
     /// from that answer on.
     pub left: Duration,
@@ -106,7 +108,12 @@
     /// It turned cold.
     Cold(ColdServer),
     /// Its cold time ended.
-    Warm(AgentId),
+    Warm {
+        /// Id of the server.
+        id: AgentId,
+        /// Its service.
+        service: ServiceName,
+    },
 }
 
 /// Limits of the cold backend servers.
@@ -242,14 +249,17 @@
         for (id, server) in &self.servers {
             match (server.was_cold, self.describe_cold(id, server, now)) {
                 (false, Some(cold)) => changes.push(Change::Cold(cold)),
-                (true, None) => changes.push(Change::Warm(id.clone())),
+                (true, None) => changes.push(Change::Warm {
+                    id: id.clone(),
+                    service: server.service.clone(),
+                }),
                 _ => {}
             }
         }
         for change in &changes {
             let (id, is_cold) = match change {
                 Change::Cold(cold) => (&cold.id, true),
-                Change::Warm(id) => (id, false),
+                Change::Warm { id, .. } => (id, false),
             };
             if let Some(server) = self.servers.get_mut(id) {
                 server.was_cold = is_cold;
@@ -267,6 +277,7 @@
         };
         (now < end).then(|| ColdServer {
             id: id.clone(),
+            service: server.service.clone(),
             left,
             cause,
         })
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -231,7 +231,8 @@
         hash_one((routes, keys, &self.services, &self.limits))
     }
 
-    /// Lists the services whose streams have different priorities.
+    /// Lists the services whose stream routes have different priorities. Priorities of organisations
+    /// don't count: they need not differ within a service.
     pub fn list_prioritised(&self) -> BTreeSet<ServiceName> {
         let routes = self.routes.values().flatten();
         let mut priorities: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -132,12 +132,22 @@
         let concerns = server.is_none_or(|s| servers.contains(s))
             || service.is_some_and(|s| services.contains(s));
         if WITHHOLDING_EVENTS.contains(&event) && concerns {
-            latest.insert((event, server, find_field(&line.text, "zone")), line);
+            let kind = find_kind(event);
+            latest.insert((kind, server, find_field(&line.text, "zone")), line);
         }
     }
     latest.into_values().cloned().collect()
 }
 
+/// Returns what an event is about; the latest event about it counts.
+fn find_kind(event: &str) -> &str {
+    match event {
+        "zone_evacuated" | "zone_reopened" => "zone",
+        "server_cold" | "server_warm" => "cold",
+        other => other,
+    }
+}
+
 fn read_log(path: &Path) -> std::io::Result<(String, Vec<String>)> {
     let name = path.file_stem().unwrap_or_default().to_string_lossy();
     let lines = BufReader::new(File::open(path)?).lines();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -319,6 +319,7 @@
         // Another server may hold the address now; its answer says nothing about the target.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             fleet.record_server_limit(&attempt.target, head.limit, attempt.sent_at, now);
+            // A wrong cold time, in a late copy of an answer, only slows the server down.
             fleet.record_cold_answer(&attempt.target, head.cold_for, attempt.sent_at, now);
         }
         if is_own_answer(call, response.status(), &head) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,5 +1,6 @@
 //! State of all backend servers: load, liveness, idle connections and retry budgets.
 
+mod choice;
 mod limits;
 mod queue;
 mod signals;
@@ -23,19 +24,17 @@
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::GroupLimits;
+use siskinbend_routing::LeavingRuns;
 use siskinbend_routing::LivenessTracker;
 use siskinbend_routing::LoadReport;
 use siskinbend_routing::Observation;
 use siskinbend_routing::Pauses;
 use siskinbend_routing::Picker;
-use siskinbend_routing::Requirements;
 use siskinbend_routing::ReturnCalendar;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
-use siskinbend_routing::Withdrawals;
 use siskinbend_routing::picker;
 use siskinbend_routing::policy::Tuning;
-use siskinbend_routing::send_rules;
 use siskinbend_routing::standstill::CLOSED_TTL;
 use siskinbend_site::BackendServer;
 use siskinbend_site::NodeSettings;
@@ -45,8 +44,6 @@
 use siskinbend_types::AgentId;
 use siskinbend_types::EngineGroup;
 use siskinbend_types::Incarnation;
-use siskinbend_types::Reason;
-use siskinbend_types::RegionSet;
 use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use siskinbend_types::Window;
@@ -168,7 +165,7 @@
                 limits: ServerLimits::new(settings.node.clone()),
                 slow_start: slow_start::create(settings),
                 pauses: Pauses::default(),
-                withdrawals: Withdrawals::default(),
+                leaving: LeavingRuns::default(),
             },
             zones: Zones::default(),
             standstills: 0,
@@ -331,6 +328,9 @@
             self.record_load(&id, None, now);
         }
         self.expire_signals(now);
+        for routing in self.services.values_mut() {
+            routing.limits.expire_rooms(now);
+        }
         for replica in self.replicas.values_mut() {
             replica.pool.prune();
         }
@@ -368,75 +368,6 @@
             .expect("inserted above if absent")
     }
 
-    /// Chooses a backend server and records an attempt as sent to it.
-    ///
-    /// With a permit the attempt counts against the concurrency limit of the server's group. A new
-    /// request goes to no group whose limit is reached; one that was admitted before may.
-    pub fn choose(
-        &mut self,
-        service: &ServiceName,
-        avoid: &[AgentId],
-        regions: &RegionSet,
-        permit: Option<&mut AdmissionPermit>,
-        now: Time,
-    ) -> Result<Target, Reason> {
-        let withheld = self.rules.list_withheld(now);
-        let routing = self.service(service);
-        let mut closed_groups = routing.list_closed(now);
-        let is_new = permit
-            .as_ref()
-            .is_some_and(|permit| permit.counted.is_none());
-        let full = match is_new {
-            true => routing
-                .limits
-                .list_full(|group| routing.picker.estimate_load(group, &routing.closed_zones)),
-            false => Vec::new(),
-        };
-        let is_limited = !full.is_empty();
-        closed_groups.extend(full);
-        let mut requirements = Requirements {
-            avoid: [avoid, &send_rules::join_withheld(&withheld)].concat(),
-            closed_groups,
-            closed_zones: routing.closed_zones.clone(),
-            regions: regions.clone(),
-            ..Requirements::default()
-        };
-        let picker = &mut routing.picker;
-        let choice = picker.choose(&requirements, now, &mut rand::rng());
-        let choice = choice.map_err(|reason| {
-            if picker.are_all_closed(&requirements.closed_zones) {
-                // Whatever else leaves no server is found as if no zone were evacuated.
-                requirements.closed_zones.clear();
-                if picker.choose(&requirements, now, &mut rand::rng()).is_ok() {
-                    return Reason::ZoneEvacuated;
-                }
-            }
-            let cause = send_rules::find_cause(&withheld, |left_out| {
-                requirements.avoid = [avoid, left_out].concat();
-                let choice = picker.choose(&requirements, now, &mut rand::rng());
-                choice.is_ok()
-            });
-            signals::find_reason(reason, cause, is_limited)
-        })?;
-        picker.record_dispatch(&choice.agent, now);
-        self.rules.record_dispatch(&choice.agent, now);
-        let routing = self.service(service);
-        let group = routing.picker.find_group(&choice.agent).cloned();
-        if let Some(permit) = permit {
-            routing.move_permit(permit, &group);
-        }
-        let replica = self.replicas.get(&choice.agent).ok_or(Reason::NoReplica)?;
-        Ok(Target {
-            id: choice.agent,
-            incarnation: Incarnation(replica.server.started_ms),
-            address: replica.server.address,
-            service: service.clone(),
-            group,
-            load: replica.report.total(),
-            report_age_ms: now.since(replica.reported_at).as_millis() as u64,
-        })
-    }
-
     /// Whether a backend server is registered and accepts new requests.
     pub fn is_ready(&self, id: &AgentId) -> bool {
         let replica = self.replicas.get(id);
--- a/src/gateway/fleet/limits.rs
+++ b/src/gateway/fleet/limits.rs
@@ -24,8 +24,8 @@
     },
     /// Any later data.
     Next {
-        /// Time since the previous data, as a multiple of its goal.
-        goal_ratio: f64,
+        /// Time since the previous data, as a multiple of its goal, if there is one.
+        goal_ratio: Option<f64>,
         previous: Time,
     },
 }
@@ -63,8 +63,8 @@
         self.record_standstill(&target.service, target.group.as_ref(), standstill);
     }
 
-    /// Records a pause within an answer of a target, as a multiple of its goal.
-    fn record_pause(&mut self, target: &Target, ratio: f64, since: Time, now: Time) {
+    /// Records a pause within an answer of a target, as a multiple of its goal if it has one.
+    fn record_pause(&mut self, target: &Target, ratio: Option<f64>, since: Time, now: Time) {
         let routing = self.service(&target.service);
         let picker = &routing.picker;
         let closed_zones = &routing.closed_zones;
--- a/src/gateway/fleet/signals.rs
+++ b/src/gateway/fleet/signals.rs
@@ -50,8 +50,8 @@
     /// answer of the target to the request that was sent.
     pub fn record_answer(&mut self, target: &Target, head: &ResponseHead, now: Time) {
         if head.leaving && self.is_latest_run(target) {
-            let withdrawals = &mut self.rules.withdrawals;
-            if withdrawals.record(&target.id, target.incarnation, now) {
+            let leaving = &mut self.rules.leaving;
+            if leaving.record(&target.id, target.incarnation, now) {
                 log::info!(
                     server:% = target.id,
                     service:% = target.service,
@@ -86,13 +86,13 @@
     pub(super) fn observe_run(&mut self, id: &AgentId, now: Time) {
         if let Some(replica) = self.replicas.get(id) {
             let run = Incarnation(replica.server.started_ms);
-            self.rules.withdrawals.observe(id, run, now);
+            self.rules.leaving.observe(id, run, now);
         }
     }
 
     /// Forgets leaving runs and pauses that no longer count.
     pub(super) fn expire_signals(&mut self, now: Time) {
-        self.rules.withdrawals.expire(now);
+        self.rules.leaving.expire(now);
         self.rules.pauses.expire(now);
     }
 
@@ -111,6 +111,7 @@
         let routing = self.services.get_mut(service)?;
         let mut requirements = Requirements {
             closed_groups: routing.list_closed(now),
+            closed_zones: routing.closed_zones.clone(),
             regions: regions.clone(),
             ..Requirements::default()
         };
--- a/src/gateway/fleet/slow_start.rs
+++ b/src/gateway/fleet/slow_start.rs
@@ -99,7 +99,7 @@
         for change in self.rules.slow_start.take_changes(now) {
             match change {
                 Change::Cold(cold) => log_cold(&cold),
-                Change::Warm(id) => log_warm(&id),
+                Change::Warm { id, service } => log_warm(&id, &service),
             }
         }
     }
@@ -108,12 +108,13 @@
 fn log_cold(cold: &ColdServer) {
     log::info!(
         server:% = cold.id,
+        service:% = cold.service,
         for_ms = cold.left.as_millis() as u64,
         cause:% = cold.cause;
         "server_cold"
     );
 }
 
-fn log_warm(id: &AgentId) {
-    log::info!(server:% = id; "server_warm");
+fn log_warm(id: &AgentId, service: &ServiceName) {
+    log::info!(server:% = id, service:% = service; "server_warm");
 }
--- a/src/gateway/fleet/state.rs
+++ b/src/gateway/fleet/state.rs
@@ -116,14 +116,14 @@
 
     /// Lists the registered backend servers that say that they are leaving.
     pub fn list_leaving(&self, now: Time) -> Vec<LeavingServer> {
-        let describe = |(server, withdrawal): (&AgentId, &siskinbend_routing::Withdrawal)| {
+        let describe = |(server, run): (&AgentId, &siskinbend_routing::LeavingRun)| {
             Some(LeavingServer {
                 server: server.clone(),
                 service: self.find_service(server)?,
-                age: now.since(withdrawal.since),
+                age: now.since(run.since),
             })
         };
-        let leaving = self.rules.withdrawals.list();
+        let leaving = self.rules.leaving.list();
         leaving.filter_map(describe).collect()
     }
 
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -127,7 +127,7 @@
     if reason == Reason::ColdStart
         && let Some(delay) = gateway.fleet().find_cold_delay(&call.service, now)
     {
-        return delay.min(call.time_left(now) / 3);
+        return delay.min(retry_after::max_retry_delay(call.time_left(now)));
     }
     let cause = match reason {
         Reason::QueueFull
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -20,13 +20,13 @@
 use crate::admin::ProcessStatus;
 
 /// Value that the status page shows in one line.
-trait Note {
+trait StatusLine {
     /// Formats the value as key=value pairs.
-    fn line(&self) -> String;
+    fn format_line(&self) -> String;
 }
 
-impl Note for ServiceState {
-    fn line(&self) -> String {
+impl StatusLine for ServiceState {
+    fn format_line(&self) -> String {
         format!(
             "service={} servers={} open={} streams={} limit={} report_age_s={:.1}",
             self.service,
@@ -39,8 +39,8 @@
     }
 }
 
-impl Note for GroupState {
-    fn line(&self) -> String {
+impl StatusLine for GroupState {
+    fn format_line(&self) -> String {
         format!(
             "group={} service={} open={} streams={} limit={}",
             self.group,
@@ -52,38 +52,39 @@
     }
 }
 
-impl Note for LeavingServer {
-    fn line(&self) -> String {
+impl StatusLine for LeavingServer {
+    fn format_line(&self) -> String {
         let (server, service) = (&self.server, &self.service);
         let age_ms = millis(self.age);
         format!("server={server} service={service} state=leaving since_ms={age_ms}")
     }
 }
 
-impl Note for PausedServer {
-    fn line(&self) -> String {
+impl StatusLine for PausedServer {
+    fn format_line(&self) -> String {
         let (server, service) = (&self.server, &self.service);
         let left_ms = millis(self.left);
         format!("server={server} service={service} state=paused left_ms={left_ms}")
     }
 }
 
-impl Note for LimitedServer {
-    fn line(&self) -> String {
+impl StatusLine for LimitedServer {
+    fn format_line(&self) -> String {
         let (server, service, limit) = (&self.server, &self.service, self.limit);
         format!("server={server} service={service} state=limited limit={limit}")
     }
 }
 
-impl Note for ColdServer {
-    fn line(&self) -> String {
-        let (server, cause, left_ms) = (&self.id, self.cause, millis(self.left));
-        format!("server={server} state=cold cause={cause} left_ms={left_ms}")
+impl StatusLine for ColdServer {
+    fn format_line(&self) -> String {
+        let (server, service) = (&self.id, &self.service);
+        let (cause, left_ms) = (self.cause, millis(self.left));
+        format!("server={server} service={service} state=cold cause={cause} left_ms={left_ms}")
     }
 }
 
-impl Note for ZoneStatus {
-    fn line(&self) -> String {
+impl StatusLine for ZoneStatus {
+    fn format_line(&self) -> String {
         format!("zone={} state={}", self.zone, self.state)
     }
 }
@@ -101,9 +102,9 @@
 
 fn lines<Item>(items: Vec<Item>) -> impl Iterator<Item = String>
 where
-    Item: Note,
+    Item: StatusLine,
 {
-    items.into_iter().map(|item| item.line())
+    items.into_iter().map(|item| item.format_line())
 }
 
 /// Lists the lines of the page.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -265,11 +265,9 @@
             Some(previous) => {
                 let gap = now.since(previous);
                 self.gateway.metrics.event_gap.observe(gap.as_secs_f64());
-                let goal = route
-                    .event_gap
-                    .map_or(f64::INFINITY, |goal| goal.as_secs_f64());
+                let goal = route.event_gap.map(|goal| goal.as_secs_f64());
                 StreamTiming::Next {
-                    goal_ratio: gap.as_secs_f64() / goal,
+                    goal_ratio: goal.map(|goal| gap.as_secs_f64() / goal),
                     previous,
                 }
             }
--- a/tests/integration/group_choice.rs
+++ b/tests/integration/group_choice.rs
@@ -145,3 +145,27 @@
     assert_eq!(limits.list_full(|_| 0.9), groups);
     assert_eq!(limits.in_flight(), 120);
 }
+
+/// Guards against taking a group whose availability zone is evacuated for one with free slots, so that
+/// requests start that no group can take.
+#[test]
+fn evacuated_group_is_not_free() {
+    let mut picker = groups(|_, _| 1.0);
+    for n in 0..RANKS {
+        let inside = Observation {
+            zone: zone(9),
+            ..observation(20)
+        };
+        picker.observe(&agent(n), inside, Time(2));
+    }
+    for n in RANKS..GROUPS * RANKS {
+        picker.observe(&agent(n), observation(20), Time(2));
+    }
+    let mut limits = GroupLimits::default();
+    for n in 0..GROUPS {
+        let group = Some(group(n));
+        (0..40).for_each(|_| limits.of_group(&group).acquire());
+        record_answers(&mut limits, &group, 2.0, 0);
+    }
+    assert_eq!(limits.count_free(&picker, &[], &[zone(9)]), Some(0));
+}
--- a/tests/integration/group_room.rs
+++ b/tests/integration/group_room.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use siskinbend_routing::ConcurrencyLimit;
 use siskinbend_routing::GroupLimits;
 use siskinbend_types::Time;
 
@@ -91,7 +92,7 @@
             answer.pauses += 1;
             answer.is_late |= pass_ms > GOAL_MS;
             let ratio = pass_ms / GOAL_MS;
-            gateways[answer.gateway].record_pause(&None, ratio, since, |_| load, now);
+            gateways[answer.gateway].record_pause(&None, Some(ratio), since, |_| load, now);
         }
         running.retain(|answer| {
             let is_done = answer.pauses == PAUSES;
@@ -142,3 +143,28 @@
     let share = burst.share_in_time();
     assert!(share >= 0.8, "{burst:?}, {without:?} without");
 }
+
+/// Guards against starting all requests that wait as soon as a group has room for a few.
+#[test]
+fn little_room_starts_few() {
+    let mut limit = ConcurrencyLimit::default();
+    (0..20).for_each(|_| limit.acquire());
+    limit.set_room(0.8, 0.7);
+    assert_eq!(limit.count_free(0.79), Some(1));
+    assert_eq!(limit.count_free(0.8), Some(0));
+    assert!(limit.is_full(0.8));
+    limit.clear_room();
+    assert_eq!(limit.count_free(0.8), None);
+}
+
+/// Guards against refusals by a room that was measured from answers without a goal for their pauses.
+#[test]
+fn pauses_without_goal_count_for_nothing() {
+    let mut limits = GroupLimits::default();
+    limits.set_rooms(true);
+    for n in 0..100 {
+        let (since, now) = (Time::from_millis(100 * n), Time::from_millis(100 * (n + 1)));
+        let change = limits.record_pause(&None, None, since, |_| 0.9, now);
+        assert_eq!(change, None);
+    }
+}
--- a/tests/integration/server_signals.rs
+++ b/tests/integration/server_signals.rs
@@ -6,12 +6,12 @@
 use http::HeaderValue;
 use siskinbend::command::explain::build_timeline;
 use siskinbend_platform::PlatformHeaders;
+use siskinbend_routing::LeavingRuns;
 use siskinbend_routing::Pauses;
 use siskinbend_routing::SendRule;
 use siskinbend_routing::SendRules;
 use siskinbend_routing::ServerLimits;
 use siskinbend_routing::SlowStart;
-use siskinbend_routing::Withdrawals;
 use siskinbend_routing::send_rules::find_cause;
 use siskinbend_routing::slow_start::Tolerance;
 use siskinbend_site::HeaderCodec;
@@ -63,7 +63,7 @@
 /// its next run, and against remembering all runs for ever.
 #[test]
 fn leaving_run_is_withheld() {
-    let mut withdrawals = Withdrawals::default();
+    let mut withdrawals = LeavingRuns::default();
     let (first, second) = (Incarnation(7), Incarnation(8));
     assert!(withdrawals.record(&server(1), first, at(10)));
     assert!(!withdrawals.record(&server(1), first, at(11)));
@@ -130,9 +130,9 @@
             },
         ),
         pauses: Pauses::default(),
-        withdrawals: Withdrawals::default(),
+        leaving: LeavingRuns::default(),
     };
-    rules.withdrawals.record(&server(1), Incarnation(1), at(0));
+    rules.leaving.record(&server(1), Incarnation(1), at(0));
     rules
         .pauses
         .record(&server(2), Duration::from_secs(5), at(0));
