--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -37,7 +37,7 @@
 /// Resolution of `Retry-After` in refusals.
 const RETRY_STEP: Duration = Duration::from_millis(10);
 /// Lowest priority that engines accept.
-const LOWEST_PRIORITY: u8 = 9;
+pub(super) const LOWEST_PRIORITY: u8 = 9;
 /// Timeout of requests that do not specify one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -98,7 +98,7 @@
         service:% = call.service,
         route:% = call.route.prefix,
         organisation = organisation.unwrap_or_default(),
-        priority = call.priority.unwrap_or_default(),
+        priority = call.priority.unwrap_or(LOWEST_PRIORITY),
         limit = limit.unwrap_or(0),
         predicted_ms = call.predicted().as_millis() as u64,
         reason:% = reason,
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -16,11 +16,10 @@
 use super::attempt::Call;
 use super::fleet::Admission;
 use super::guards::AdmissionPermit;
+use super::handler::LOWEST_PRIORITY;
 
 /// Part of its latency goal for which a stream may wait.
 const MAX_WAIT_DIVISOR: u32 = 4;
-/// Least urgent class.
-const LOWEST_CLASS: u8 = 9;
 /// Organisation of requests without one.
 const NO_ORGANISATION: SmolStr = SmolStr::new_static("-");
 
@@ -145,7 +144,7 @@
         service:% = call.service,
         route:% = call.route.prefix,
         organisation = organisation.unwrap_or_default(),
-        priority = call.priority.unwrap_or_default(),
+        priority = call.priority.unwrap_or(LOWEST_PRIORITY),
         before_ms = before.as_millis() as u64,
         waited_ms = waited.as_millis() as u64,
         predicted_ms = call.predicted().as_millis() as u64;
@@ -161,7 +160,7 @@
     };
     Some(StartInfo {
         organisation,
-        class: call.priority.unwrap_or(LOWEST_CLASS),
+        class: call.priority.unwrap_or(LOWEST_PRIORITY),
         latest_start: call.received_at + call.route.latency_goal / MAX_WAIT_DIVISOR,
     })
 }
