--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases that need a script.
+
+pub mod maps;
+pub mod moved;
+pub mod restore;
+pub mod stop;
