--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases that need a script.
 
+pub mod bodies;
 pub mod maps;
 pub mod moved;
 pub mod restore;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -58,6 +58,7 @@
 
 fn run(case: &str, folder: &Path, record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     match case {
+        "bodies" => cases::bodies::run(folder, record, has_trouble),
         "maps" => cases::maps::run(folder, record, has_trouble),
         "stop" => cases::stop::run(folder, record, has_trouble),
         "move" => cases::moved::run(folder, record, has_trouble),
