Show that sound streams are cut when their replica is silent

Streams that are preempted for 1.4 s are given up after 0.9 s and cut around a SIGTERM when no attempt is left, though their time limit is 8 s.

--- a/review/standins/src/cases/maps.rs
+++ b/review/standins/src/cases/maps.rs
@@ -44,6 +44,24 @@
     number: usize,
     /// Set until the fault has struck.
     is_due: Arc<AtomicBool>,
+    faults: Faults,
+}
+
+/// Which of the two faults the rank has: both, unless `TROUBLE` is `late` or `copy`.
+#[derive(Clone, Copy)]
+struct Faults {
+    is_late: bool,
+    sends_copy: bool,
+}
+
+impl Faults {
+    fn read() -> Faults {
+        let only = std::env::var("TROUBLE").unwrap_or_default();
+        Faults {
+            is_late: only != "copy",
+            sends_copy: only != "late",
+        }
+    }
 }
 
 impl Rank {
@@ -88,15 +106,22 @@
             record.line(format!("{text} -> {status}"));
             return connection.answer(status, &[], b"");
         }
+        if self.faults.sends_copy {
+            record.line(format!(
+                "rank {}: TROUBLE: a second copy of its previous answer comes first",
+                self.number
+            ));
+            let copy = connection.latest.clone();
+            connection.write(&copy)?;
+        }
+        if !self.faults.is_late {
+            let status = self.group.order(self.number, &order);
+            record.line(format!("{text} -> {status}"));
+            return connection.answer(status, &[], b"");
+        }
         record.line(format!(
-            "{text} -> no answer, carried out {LATENESS:?} later"
-        ));
-        record.line(format!(
-            "rank {}: TROUBLE: a second copy of its previous answer follows",
-            self.number
+            "{text} -> TROUBLE: no answer, carried out {LATENESS:?} later"
         ));
-        let copy = connection.latest.clone();
-        connection.write(&copy)?;
         let (group, number) = (Arc::clone(&self.group), self.number);
         let record = Arc::clone(record);
         thread::spawn(move || {
@@ -126,10 +151,12 @@
                 events: 28,
                 pause: Duration::from_millis(30),
                 slots: 12,
+                preemption: None,
             },
             group: Arc::clone(&group),
             number,
             is_due: Arc::clone(&is_due),
+            faults: Faults::read(),
         };
         let handler =
             move |request: &Request, connection: &mut Connection| rank.handle(request, connection);
--- a/review/standins/src/cases/moved.rs
+++ b/review/standins/src/cases/moved.rs
@@ -173,6 +173,7 @@
                 events: EVENTS,
                 pause: PAUSE.mul_f64(pace),
                 slots: 12,
+                preemption: None,
             },
             group: Arc::clone(&group),
             number,
@@ -236,6 +237,7 @@
         events: 0,
         pause: Duration::from_millis(10),
         slots: 6,
+        preemption: None,
     };
     let handler = move |request: &Request, connection: &mut Connection| match replica
         .reject(request, connection)?
--- a/review/standins/src/cases/restore.rs
+++ b/review/standins/src/cases/restore.rs
@@ -41,6 +41,7 @@
         events: 0,
         pause: Duration::from_millis(30),
         slots: 6,
+        preemption: None,
     };
     let runs = Arc::clone(&replica.runs);
     let handler = move |request: &Request, connection: &mut Connection| {
--- a/review/standins/src/cases/stop.rs
+++ b/review/standins/src/cases/stop.rs
@@ -39,6 +39,7 @@
         events: EVENTS,
         pause: PAUSE,
         slots: 12,
+        preemption: None,
     };
     let runs = Arc::clone(&replica.runs);
     let handler = move |request: &Request, connection: &mut Connection| {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -128,8 +128,11 @@
     }
 }
 
-/// Reads the first line and the headers; `None` at the end of the connection.
-fn read_head(reader: &mut impl BufRead) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+/// First line of a message, and its headers.
+type Head = (String, Vec<(String, String)>);
+
+/// Reads the head of a message; `None` at the end of the connection.
+fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -58,10 +58,10 @@
 
 fn run(case: &str, folder: &Path, record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     match case {
-        "bodies" => cases::bodies::run(folder, record, has_trouble),
         "maps" => cases::maps::run(folder, record, has_trouble),
         "stop" => cases::stop::run(folder, record, has_trouble),
         "move" => cases::moved::run(folder, record, has_trouble),
+        "silent" => cases::silent::run(folder, record, has_trouble),
         "restore" => cases::restore::run(folder, record, has_trouble),
         _ => Ok(Verdict::NotRun(format!("there is no case {case}"))),
     }
--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -9,7 +9,6 @@
 use std::net::TcpListener;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::thread;
@@ -20,46 +19,16 @@
 const PROGRAM: &str = "target/release/siskinbend";
 /// One process. It is killed when this value is dropped, or when the test ends in any way.
 pub struct Process {
-    role: &'static str,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
 impl Process {
     /// Writes the settings file and starts the process.
-    pub fn start(folder: &Path, name: &str, role: &'static str, text: &str) -> io::Result<Process> {
-        let settings = folder.join(format!("{name}.conf"));
-        let log = folder.join(format!("{name}.log"));
-        fs::write(&settings, text)?;
-        let child = spawn(role, &settings, &log)?;
-        Ok(Process {
-            role,
-            settings,
-            log,
-            child,
-        })
-    }
-
-    /// Kills the process.
-    pub fn kill(&mut self) -> io::Result<()> {
-        self.child.kill()?;
-        self.child.wait().map(|_| ())
-    }
-
-    /// Starts the process again after it has ended.
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.child = spawn(self.role, &self.settings, &self.log)?;
-        Ok(())
-    }
-
-    /// Returns the resident memory in bytes; zero if the process has ended.
-    pub fn memory(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = fs::read_to_string(path).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
-        kilobytes.unwrap_or(0) << 10
+    pub fn start(folder: &Path, name: &str, role: &str, settings: &str) -> io::Result<Process> {
+        let file = folder.join(format!("{name}.conf"));
+        fs::write(&file, settings)?;
+        let child = spawn(role, &file, &folder.join(format!("{name}.log")))?;
+        Ok(Process { child })
     }
 
     /// Sends a signal.
@@ -92,7 +61,7 @@
 }
 
 fn spawn(role: &str, settings: &Path, log: &Path) -> io::Result<Child> {
-    let log = File::options().create(true).append(true).open(log)?;
+    let log = File::create(log)?;
     let mut command = Command::new(PROGRAM);
     command
         .arg(role)
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -161,6 +161,8 @@
     pub events: u32,
     pub pause: Duration,
     pub slots: u32,
+    /// Event after which each run of a stream is preempted once, and for how long.
+    pub preemption: Option<(u32, Duration)>,
 }
 
 impl Replica {
@@ -235,6 +237,15 @@
         headers.push(("content-type", "text/event-stream".to_owned()));
         connection.begin_chunks(200, &headers)?;
         for event in after + 1..=self.events {
+            if let Some((events, time)) = self.preemption
+                && event == after + 1 + events
+            {
+                self.record.line(format!(
+                    "replica {}: a stream is preempted for {time:?}",
+                    self.id
+                ));
+                thread::sleep(time);
+            }
             thread::sleep(self.pause);
             connection.chunk(&format!("id: {event}\ndata: piece {event}\n\n"))?;
         }
