Keep a stream's attempt until another replica has brought data

Cause: a stream at a rank that delays its group was given up before another replica was chosen. Whatever left none (a pause, a leaving server, a request limit, an evacuated zone) ended the stream, and so did a second replica that refused it, broke off or was silent. The log of the case shows it: stream_resumed cause=slow_replica and stream_cut reason=servers_paused in the same millisecond. Ruled out: a wrong choice (the reason is right) and a move that comes too early (streams that stay are answered in time).

Change: the second attempt is a hedge that runs beside the first one. The first one is given up when the hedge has brought data. A hedge that can't be sent takes no retry from the budget, and one that fails leaves the first attempt as it was. New log lines: hedge_not_sent with the refusal, hedge_failed.

--- a/crates/request/src/budget.rs
+++ b/crates/request/src/budget.rs
@@ -43,6 +43,11 @@
         self.balance = (self.balance + self.deposit).min(self.max_balance);
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= RETRY_MILLIS
+    }
+
     /// Takes one retry from the budget; returns false if it is used up.
     pub fn try_withdraw(&mut self) -> bool {
         match self.balance.checked_sub(RETRY_MILLIS) {
--- a/crates/request/src/direct.rs
+++ b/crates/request/src/direct.rs
@@ -3,6 +3,7 @@
 //! Replicas can refuse or fail a request, stall, or lose the answer. Another attempt is made only
 //! if it can't run an operation twice, and only within the retry budget.
 
+use std::fmt;
 use std::time::Duration;
 
 use siskinbend_types::AgentId;
@@ -16,9 +17,9 @@
 /// Shortest time until the deadline at which another attempt is started.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(40);
 
-/// Shortest time until the deadline at which an attempt that makes progress is abandoned. The next
-/// attempt has to process the prompt again.
-const MIN_ABANDON_TIME: Duration = Duration::from_millis(500);
+/// Shortest time until the deadline at which a hedge is sent beside an attempt that makes progress.
+/// The hedge has to process the prompt again.
+const MIN_MOVE_TIME: Duration = Duration::from_millis(500);
 
 /// Why an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +61,65 @@
     Fail(Reason),
 }
 
+/// Why a hedge is sent: a further attempt beside one that runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeCause {
+    /// The backend server makes progress, but delays the others of its group.
+    Slow,
+}
+
+impl HedgeCause {
+    /// Returns the reason for metrics and logs.
+    pub fn reason(self) -> Reason {
+        match self {
+            HedgeCause::Slow => Reason::SlowReplica,
+        }
+    }
+
+    fn min_time(self) -> Duration {
+        match self {
+            HedgeCause::Slow => MIN_MOVE_TIME,
+        }
+    }
+}
+
+/// Why no hedge is sent, so that only the running attempt goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeRefusal {
+    /// The request may not be repeated.
+    NotIdempotent,
+    /// The request was sent as often as its route allows.
+    AttemptsUsed,
+    /// Too little time is left.
+    Late,
+    /// The retry budget is used up.
+    NoBudget,
+    /// Whether the request may be sent at present is still being checked, or it may not.
+    Unchecked,
+    /// No other backend server can take the request.
+    NoServer(Reason),
+}
+
+impl HedgeRefusal {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            HedgeRefusal::NotIdempotent => "not_idempotent",
+            HedgeRefusal::AttemptsUsed => "attempts_used",
+            HedgeRefusal::Late => "late",
+            HedgeRefusal::NoBudget => "no_budget",
+            HedgeRefusal::Unchecked => "unchecked",
+            HedgeRefusal::NoServer(reason) => reason.as_str(),
+        }
+    }
+}
+
+impl fmt::Display for HedgeRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 /// The attempts of one request.
 #[derive(Debug, Clone)]
 pub struct DirectAttempts {
@@ -114,19 +174,14 @@
         budget: &mut RetryBudget,
         now: Time,
     ) -> NextStep {
-        self.tried.push(target);
+        self.record_failure(target, failure);
         let answer = match failure {
-            AttemptFailure::NotSent => {
-                self.sent -= 1;
-                self.unsent += 1;
-                return self.after_unsent(now);
-            }
+            AttemptFailure::NotSent => return self.after_unsent(now),
             AttemptFailure::Refused(reason) => NextStep::Refuse(reason),
             AttemptFailure::Failed => NextStep::ForwardFailure,
             AttemptFailure::ConnectionLost => NextStep::Fail(Reason::LinkLost),
             AttemptFailure::Stalled => NextStep::Fail(Reason::Stalled),
         };
-        self.may_have_run |= !matches!(failure, AttemptFailure::Refused(_));
         let may_repeat = self.idempotent || !self.may_have_run;
         let can_retry = self.sent < self.max_attempts && now + MIN_RETRY_TIME < self.deadline;
         if may_repeat && can_retry && budget.try_withdraw() {
@@ -138,16 +193,50 @@
         }
     }
 
-    /// Decides whether to abandon a slow attempt that makes progress, so that another backend
-    /// server continues the request.
-    pub fn try_abandon(&mut self, target: &AgentId, budget: &mut RetryBudget, now: Time) -> bool {
-        let can_retry = self.sent < self.max_attempts && now + MIN_ABANDON_TIME < self.deadline;
-        let abandons = self.idempotent && can_retry && budget.try_withdraw();
-        if abandons {
-            self.tried.push(target.clone());
-            self.may_have_run = true;
+    /// Records the failure of an attempt beside which another one runs, so that nothing is decided.
+    pub fn record_failure(&mut self, target: AgentId, failure: AttemptFailure) {
+        self.tried.push(target);
+        match failure {
+            AttemptFailure::NotSent => {
+                self.sent -= 1;
+                self.unsent += 1;
+            }
+            AttemptFailure::Refused(_) => {}
+            AttemptFailure::Failed | AttemptFailure::ConnectionLost | AttemptFailure::Stalled => {
+                self.may_have_run = true;
+            }
+        }
+    }
+
+    /// Checks whether a hedge may be sent. It takes nothing from the budget, because a backend
+    /// server for the hedge has yet to be found.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request stays with the attempt that runs.
+    pub fn check_hedge(
+        &self,
+        cause: HedgeCause,
+        budget: &RetryBudget,
+        now: Time,
+    ) -> Result<(), HedgeRefusal> {
+        if !self.idempotent {
+            Err(HedgeRefusal::NotIdempotent)
+        } else if self.sent >= self.max_attempts || self.unsent >= MAX_UNSENT {
+            Err(HedgeRefusal::AttemptsUsed)
+        } else if now + cause.min_time() >= self.deadline {
+            Err(HedgeRefusal::Late)
+        } else if !budget.has_retry() {
+            Err(HedgeRefusal::NoBudget)
+        } else {
+            Ok(())
         }
-        abandons
+    }
+
+    /// Records that the attempt at a backend server was given up for a hedge that was answered.
+    pub fn record_replaced(&mut self, target: AgentId) {
+        self.tried.push(target);
+        self.may_have_run = true;
     }
 
     /// Returns the answer to the caller if no other backend server can be tried.
--- a/crates/request/src/events.rs
+++ b/crates/request/src/events.rs
@@ -60,6 +60,12 @@
         self.last_id.as_ref()
     }
 
+    /// Whether an event that was forwarded before would be recognised and removed.
+    pub fn are_numbered(&self) -> bool {
+        let last_id = self.last_id.as_ref();
+        last_id.is_none_or(|id| id.parse::<u64>().is_ok())
+    }
+
     /// Whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -23,6 +23,8 @@
 pub use claim::StoredAnswer;
 pub use direct::AttemptFailure;
 pub use direct::DirectAttempts;
+pub use direct::HedgeCause;
+pub use direct::HedgeRefusal;
 pub use direct::NextStep;
 pub use events::EventBuffer;
 pub use ledger::AttemptRef;
--- a/crates/standins/src/site/ranks.rs
+++ b/crates/standins/src/site/ranks.rs
@@ -43,6 +43,8 @@
     held: Option<u64>,
     /// Activations by set and expert.
     counts: Vec<u64>,
+    /// Time that the rank takes for its work, as a multiple of the usual time.
+    pace: f64,
 }
 
 #[derive(Debug)]
@@ -76,6 +78,7 @@
                 shape.sets
             ],
             counts: vec![0; shape.sets * shape.experts],
+            pace: 1.0,
             ..Rank::default()
         };
         Group {
@@ -106,6 +109,11 @@
         (state.switches, state.mixed_steps)
     }
 
+    /// Sets the time that a rank takes for its work, as a multiple of the usual time.
+    pub fn set_pace(&self, rank: usize, pace: f64) {
+        lock(&self.state).ranks[rank].pace = pace;
+    }
+
     /// Makes another expert of each set the one that receives most activations.
     pub fn shift_hot_expert(&self) {
         let mut state = lock(&self.state);
@@ -139,7 +147,7 @@
         json!({
             "stage": "prefill_decode", "busy": false, "sequence": 0, "queued": 0, "active": 1,
             "group": {"name": self.name, "epoch": 1, "rank": rank, "state": "open"},
-            "size": self.shape.ranks, "pace": 1.0, "step": state.step, "map": rank_state.version,
+            "size": self.shape.ranks, "pace": rank_state.pace, "step": state.step, "map": rank_state.version,
             "prepared": rank_state.prepared.as_ref().map(|p| p.0),
             "armed": armed,
             "held": rank_state.held,
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -39,7 +39,7 @@
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 8;
-/// Delay before each event.
+/// Delay before each event, unless it is set.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from a crash to the next start.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
@@ -53,8 +53,10 @@
     /// Number of events after which the next stream is cut off, inside the following event; 0 for
     /// no cut.
     pub cut_after: AtomicU32,
-    /// Delay of the first event of each stream in milliseconds.
+    /// Delay of the first event of each answer in milliseconds.
     pub delay_ms: AtomicU32,
+    /// Delay before each event in milliseconds.
+    pub interval_ms: AtomicU32,
     /// Rejects every request with status 503 and marks it as not executed.
     pub overloaded: AtomicBool,
     /// Closes the connection instead of answering, after the request was executed.
@@ -85,6 +87,8 @@
 /// State of a stream; dropping it before it is finished counts a disconnect.
 struct EventStream {
     replica: Arc<Replica>,
+    /// Event after which the answer begins.
+    after: u32,
     next_event: u32,
     cut_after: u32,
     finished: bool,
@@ -107,6 +111,7 @@
             runs: Mutex::default(),
             cut_after: AtomicU32::new(0),
             delay_ms: AtomicU32::new(0),
+            interval_ms: AtomicU32::new(EVENT_INTERVAL.as_millis() as u32),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
             signals: Signals::default(),
@@ -301,6 +306,7 @@
     }
     let stream = EventStream {
         replica: Arc::clone(replica),
+        after,
         next_event: after + 1,
         cut_after: replica.cut_after.swap(0, Ordering::Relaxed),
         finished: false,
@@ -312,11 +318,11 @@
             stream.finished = true;
             return None;
         }
-        let delay_ms = match stream.next_event {
-            1 => stream.replica.delay_ms.load(Ordering::Relaxed),
-            _ => 0,
-        };
-        tokio::time::sleep(EVENT_INTERVAL + Duration::from_millis(delay_ms.into())).await;
+        let mut delay_ms = stream.replica.interval_ms.load(Ordering::Relaxed);
+        if stream.next_event == stream.after + 1 {
+            delay_ms += stream.replica.delay_ms.load(Ordering::Relaxed);
+        }
+        tokio::time::sleep(Duration::from_millis(delay_ms.into())).await;
         if stream.cut_after > 0 && stream.next_event > stream.cut_after + 1 {
             stream.finished = true;
             return Some((Err(DroppedResponse), stream));
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -151,8 +151,20 @@
     /// # Panics
     /// The replica is not registered.
     pub fn set_zone(&self, id: &str, zone: &str) {
+        self.change_entry(id, "zone", zone);
+    }
+
+    /// Reports that a registered replica drains.
+    ///
+    /// # Panics
+    /// The replica is not registered.
+    pub fn set_draining(&self, id: &str) {
+        self.change_entry(id, "state", "draining");
+    }
+
+    fn change_entry(&self, id: &str, field: &str, value: &str) {
         let mut entry = self.find_entry(id).expect("replica is registered");
-        entry["zone"] = json!(zone);
+        entry[field] = json!(value);
         self.put_json("servers", id, &entry);
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -174,8 +174,20 @@
         gateway
             .fleet()
             .choose(&call.service, attempts.tried(), &call.regions, permit, now)?;
+    let attempt = start_attempt(gateway, call, attempts, target, last_event.as_ref());
+    Ok(run_attempt(gateway, call, attempt, last_event).await)
+}
+
+/// Starts an attempt at a chosen backend server and logs what the choice was based on.
+pub(super) fn start_attempt(
+    gateway: &Arc<Gateway>,
+    call: &Call,
+    attempts: &mut DirectAttempts,
+    target: Target,
+    last_event: Option<&SmolStr>,
+) -> AttemptGuard {
     attempts.start_attempt();
-    let mut attempt = AttemptGuard::new(gateway, target);
+    let attempt = AttemptGuard::new(gateway, target);
     log::info!(
         request:% = call.head.id,
         service:% = call.service,
@@ -185,19 +197,35 @@
         load = attempt.target.load,
         report_ms = attempt.target.report_age_ms,
         version:% = call.version,
-        after = last_event.as_deref().unwrap_or_default(),
-        left_ms = call.time_left(now).as_millis() as u64;
+        after = last_event.map(SmolStr::as_str).unwrap_or_default(),
+        left_ms = call.time_left(attempt.sent_at).as_millis() as u64;
         "attempt_sent"
     );
-    let connection = match open_connection(gateway, call, &attempt).await {
-        Ok(connection) => connection,
+    attempt
+}
+
+/// Sends a request to the backend server of an attempt and reads the head of the response.
+pub(super) async fn run_attempt(
+    gateway: &Arc<Gateway>,
+    call: &Call,
+    mut attempt: AttemptGuard,
+    last_event: Option<SmolStr>,
+) -> Result<PendingResponse, FailedAttempt> {
+    match open_connection(gateway, call, &attempt).await {
+        Ok(connection) => exchange(gateway, call, attempt, connection, last_event).await,
         Err(_) => {
             attempt.record_connection_failure();
             attempt.finish(AttemptResult::Failed);
-            return Ok(Err(FailedAttempt::new(attempt, AttemptFailure::NotSent)));
+            Err(FailedAttempt::new(attempt, AttemptFailure::NotSent))
         }
-    };
-    Ok(exchange(gateway, call, attempt, connection, last_event).await)
+    }
+}
+
+/// Whether a request may be sent now, without a wait for the checks before it.
+pub(super) fn may_send(gateway: &Arc<Gateway>, call: &Call, now: Time) -> bool {
+    !gateway.crashes.is_checked_for(call)
+        && evacuations::is_checked(gateway, now)
+        && gateway.crashes.find_blocked(call, now).is_none()
 }
 
 /// Returns an error if the request, or a part of its prompt, is known to crash backend servers.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -103,7 +103,7 @@
     }
 
     /// Whether the check of a server is under way that may have crashed because of the same request.
-    fn is_checked_for(&self, call: &Call) -> bool {
+    pub fn is_checked_for(&self, call: &Call) -> bool {
         let pending = self.pending();
         let suspects = pending.values().flatten();
         let mut weighty = suspects.filter(|s| s.stage != AttemptStage::Streaming);
--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -49,15 +49,11 @@
 /// Waits until the store was asked for evacuations, if the process was frozen for so long that it may
 /// have missed one. Requests that arrived meanwhile would otherwise reach the zone too late.
 pub(super) async fn wait_until_checked(gateway: &Arc<Gateway>, call: &Call) {
-    let Some(bound) = gateway.settings.bounds.evacuate else {
-        return;
-    };
-    let max_age = bound.saturating_sub(BOUND_MARGIN).max(MIN_CHECK_AGE);
-    let is_recent = |at: &Time| gateway.now().since(*at) < max_age;
-    if is_recent(&gateway.evacuations_checked.borrow()) {
+    let started = gateway.now();
+    if is_checked(gateway, started) {
         return;
     }
-    let started = gateway.now();
+    let is_recent = |at: &Time| is_recent(gateway, *at, gateway.now());
     let mut checks = gateway.evacuations_checked.subscribe();
     let time_limit = MAX_WAIT.min(call.time_left(started));
     let is_checked = timeout(time_limit, checks.wait_for(is_recent))
@@ -67,6 +63,19 @@
     log::info!(request:% = call.head.id, checked = is_checked, waited_ms; "evacuations_awaited");
 }
 
+/// Whether the store was asked for evacuations so recently that none can have been missed.
+pub(super) fn is_checked(gateway: &Arc<Gateway>, now: Time) -> bool {
+    let checked_at = *gateway.evacuations_checked.borrow();
+    is_recent(gateway, checked_at, now)
+}
+
+/// Whether a check of the evacuations is young enough; any is if the operators set no bound.
+fn is_recent(gateway: &Arc<Gateway>, checked_at: Time, now: Time) -> bool {
+    let bound = gateway.settings.bounds.evacuate;
+    let max_age = bound.map(|bound| bound.saturating_sub(BOUND_MARGIN).max(MIN_CHECK_AGE));
+    max_age.is_none_or(|max_age| now.since(checked_at) < max_age)
+}
+
 /// Lists the zones and their states for the status page and the metrics.
 pub(super) fn list_zones(gateway: &Gateway, now: Time) -> Vec<ZoneStatus> {
     let config = gateway.config();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -20,7 +20,6 @@
 use siskinbend_groups::report::GroupLoads;
 use siskinbend_link::Connection;
 use siskinbend_link::ConnectionPool;
-use siskinbend_request::DirectAttempts;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::GroupLimits;
@@ -402,17 +401,11 @@
             .measure_silence(&target.id, started, now)
     }
 
-    /// Whether a stream should move to another replica because its current one delays the group. If
-    /// so, a retry is taken from the budget.
-    pub fn try_abandon(
-        &mut self,
-        target: &Target,
-        attempts: &mut DirectAttempts,
-        now: Time,
-    ) -> bool {
-        let routing = self.service(&target.service);
-        routing.picker.delays_group(&target.id)
-            && attempts.try_abandon(&target.id, &mut routing.budget, now)
+    /// Whether a stream should move to another replica because its current one delays the group.
+    pub fn delays_group(&mut self, target: &Target) -> bool {
+        self.service(&target.service)
+            .picker
+            .delays_group(&target.id)
     }
 
     /// Lists the addresses of a service's replicas.
--- a/src/gateway/fleet/choice.rs
+++ b/src/gateway/fleet/choice.rs
@@ -1,5 +1,8 @@
 //! Choice of a backend server for an attempt.
 
+use siskinbend_request::DirectAttempts;
+use siskinbend_request::HedgeCause;
+use siskinbend_request::HedgeRefusal;
 use siskinbend_routing::Picker;
 use siskinbend_routing::Requirements;
 use siskinbend_routing::send_rules;
@@ -59,12 +62,64 @@
         permit: Option<&mut AdmissionPermit>,
         now: Time,
     ) -> Result<Target, Reason> {
-        let withheld = self.rules.list_withheld(now);
-        let routing = self.service(service);
-        let mut closed_groups = routing.list_closed(now);
         let is_new = permit
             .as_ref()
             .is_some_and(|permit| permit.counted.is_none());
+        let id = self.find_usable(service, avoid, regions, is_new, now)?;
+        let target = self.record_dispatch(service, id, now)?;
+        if let Some(permit) = permit {
+            self.move_permit(&target, permit);
+        }
+        Ok(target)
+    }
+
+    /// Chooses a backend server for a hedge beside the attempt at `running`, and records the hedge as
+    /// sent to it. Only a hedge that is sent takes a retry from the budget.
+    ///
+    /// The request's permit stays with the group of `running` until the hedge is answered.
+    pub fn choose_hedge(
+        &mut self,
+        running: &Target,
+        attempts: &DirectAttempts,
+        regions: &RegionSet,
+        cause: HedgeCause,
+        now: Time,
+    ) -> Result<Target, HedgeRefusal> {
+        let service = &running.service;
+        attempts.check_hedge(cause, &self.service(service).budget, now)?;
+        let avoid = [attempts.tried(), std::slice::from_ref(&running.id)].concat();
+        let id = self
+            .find_usable(service, &avoid, regions, false, now)
+            .map_err(HedgeRefusal::NoServer)?;
+        let routing = self.service(service);
+        if cause == HedgeCause::Slow && routing.picker.delays_group(&id) {
+            return Err(HedgeRefusal::NoServer(Reason::SlowReplica));
+        }
+        if !routing.budget.try_withdraw() {
+            return Err(HedgeRefusal::NoBudget);
+        }
+        self.record_dispatch(service, id, now)
+            .map_err(HedgeRefusal::NoServer)
+    }
+
+    /// Counts a request against the limit of the group of the server that runs it.
+    pub fn move_permit(&mut self, target: &Target, permit: &mut AdmissionPermit) {
+        self.service(&target.service)
+            .move_permit(permit, &target.group);
+    }
+
+    /// Finds a backend server that may get an attempt now.
+    fn find_usable(
+        &mut self,
+        service: &ServiceName,
+        avoid: &[AgentId],
+        regions: &RegionSet,
+        is_new: bool,
+        now: Time,
+    ) -> Result<AgentId, Reason> {
+        let withheld = self.rules.list_withheld(now);
+        let routing = self.service(service);
+        let mut closed_groups = routing.list_closed(now);
         let full = match is_new {
             true => routing
                 .limits
@@ -81,32 +136,42 @@
             ..Requirements::default()
         };
         let picker = &mut routing.picker;
-        let choice = picker.choose(&requirements, now, &mut rand::rng());
-        let choice = choice.map_err(|reason| {
-            let failure = FailedChoice {
-                reason,
-                avoid,
-                withheld: &withheld,
-                is_limited,
-            };
-            failure.explain(picker, requirements, now)
-        })?;
-        picker.record_dispatch(&choice.agent, now);
-        self.rules.record_dispatch(&choice.agent, now);
-        let routing = self.service(service);
-        let group = routing.picker.find_group(&choice.agent).cloned();
-        if let Some(permit) = permit {
-            routing.move_permit(permit, &group);
+        match picker.choose(&requirements, now, &mut rand::rng()) {
+            Ok(choice) => Ok(choice.agent),
+            Err(reason) => {
+                let failure = FailedChoice {
+                    reason,
+                    avoid,
+                    withheld: &withheld,
+                    is_limited,
+                };
+                Err(failure.explain(picker, requirements, now))
+            }
         }
-        let replica = self.replicas.get(&choice.agent).ok_or(Reason::NoReplica)?;
+    }
+
+    /// Records an attempt as sent to a backend server.
+    fn record_dispatch(
+        &mut self,
+        service: &ServiceName,
+        id: AgentId,
+        now: Time,
+    ) -> Result<Target, Reason> {
+        let replica = self.replicas.get(&id).ok_or(Reason::NoReplica)?;
+        let (incarnation, address) = (replica.server.started_ms, replica.server.address);
+        let (load, reported_at) = (replica.report.total(), replica.reported_at);
+        let picker = &mut self.service(service).picker;
+        picker.record_dispatch(&id, now);
+        let group = picker.find_group(&id).cloned();
+        self.rules.record_dispatch(&id, now);
         Ok(Target {
-            id: choice.agent,
-            incarnation: Incarnation(replica.server.started_ms),
-            address: replica.server.address,
+            id,
+            incarnation: Incarnation(incarnation),
+            address,
             service: service.clone(),
             group,
-            load: replica.report.total(),
-            report_age_ms: now.since(replica.reported_at).as_millis() as u64,
+            load,
+            report_age_ms: now.since(reported_at).as_millis() as u64,
         })
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod guards;
 mod handler;
+mod hedge;
 mod ignored_headers;
 mod loads;
 mod members;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,7 +1,9 @@
-//! Event streams: forwards events as they arrive, and resumes a broken stream at another replica.
+//! Event streams: forwards events as they arrive, and continues a stream at another replica if its
+//! own one breaks off or delays its group.
 
 use std::io::Error;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -17,14 +19,18 @@
 use siskinbend_request::AttemptFailure;
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::EventBuffer;
+use siskinbend_request::HedgeCause;
+use siskinbend_request::HedgeRefusal;
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::AttemptStage;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
+use smol_str::SmolStr;
 
 use super::Gateway;
 use super::attempt::Call;
+use super::attempt::FailedAttempt;
 use super::attempt::PendingResponse;
 use super::attempt::decide_next;
 use super::attempt::send_attempt;
@@ -37,6 +43,8 @@
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
 use super::handler::refuse;
+use super::hedge::Hedge;
+use super::hedge::HedgeAnswer;
 use super::response::Body;
 use super::returns;
 use super::waiting;
@@ -44,14 +52,22 @@
 /// Fraction of the latency goal within which the first event must arrive to count as in time. The
 /// rest is left for the round trip to the caller.
 const GOAL_FRACTION: f64 = 0.9;
+/// Interval at which a refused hedge is checked again; each check looks at all replicas.
+const HEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// State of a stream that is being forwarded.
 struct StreamRelay {
     gateway: Arc<Gateway>,
-    call: Call,
+    call: Arc<Call>,
     attempts: DirectAttempts,
     events: EventBuffer,
     attempt: AttemptGuard,
+    /// Attempt that may replace `attempt`.
+    hedge: Option<Hedge>,
+    /// Why the latest hedge was not sent, and when.
+    refused: Option<(HedgeRefusal, Time)>,
+    /// First part of the body that was read with the head of a hedge's answer.
+    first: Option<Option<Frame<Bytes>>>,
     connection: Option<Connection>,
     body: Incoming,
     /// Whether the end of the body is marked, so that it differs from a lost connection.
@@ -71,13 +87,12 @@
 enum StreamPart {
     Events(Bytes),
     End,
-    /// The replica delays its group, so another replica should resume the stream.
-    Abandoned,
     Failed(AttemptFailure),
 }
 
 /// Serves a stream request.
 pub(super) async fn serve(gateway: &Arc<Gateway>, call: Call) -> Response<Body> {
+    let call = Arc::new(call);
     let mut permit = AdmissionPermit::new(gateway, &call.service);
     let is_retryable = call.route.kind.is_retryable();
     let mut attempts = DirectAttempts::new(is_retryable, call.route.max_attempts, call.deadline);
@@ -111,13 +126,13 @@
 }
 
 /// Whether the headers of a response mark the end of its body.
-fn is_framed(headers: &HeaderMap) -> bool {
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
 fn relay(
     gateway: &Arc<Gateway>,
-    call: Call,
+    call: Arc<Call>,
     attempts: DirectAttempts,
     pending: PendingResponse,
     permit: AdmissionPermit,
@@ -131,6 +146,9 @@
         call,
         attempts,
         attempt: pending.attempt,
+        hedge: None,
+        refused: None,
+        first: None,
         connection: Some(pending.connection),
         body,
         is_framed,
@@ -162,32 +180,9 @@
                     self.finish();
                     return None;
                 }
-                StreamPart::Abandoned => {
-                    self.gateway
-                        .metrics
-                        .requests
-                        .record_retry(Reason::SlowReplica);
-                    self.attempt.finish(AttemptResult::Cancelled);
-                    if let Err(reason) = self.resume(Reason::SlowReplica).await {
-                        return Some(Err(self.abort(reason)));
-                    }
-                }
                 StreamPart::Failed(failure) => {
-                    self.attempt.finish(match failure {
-                        AttemptFailure::Stalled => AttemptResult::Stalled,
-                        _ => AttemptResult::Failed,
-                    });
-                    let target = self.attempt.target.clone();
-                    if failure == AttemptFailure::ConnectionLost {
-                        let stage = AttemptStage::of_stream(self.parts_read);
-                        crashes::record_loss(&self.gateway, &self.call, &target, stage);
-                        self.attempt.record_connection_failure();
-                    }
-                    let resumed = match self.check_retry(&target, failure) {
-                        Ok(()) => self.resume(failure.reason()).await,
-                        Err(reason) => Err(reason),
-                    };
-                    if let Err(reason) = resumed {
+                    self.end_attempt(failure);
+                    if let Err(reason) = self.recover(failure).await {
                         return Some(Err(self.abort(reason)));
                     }
                 }
@@ -195,6 +190,41 @@
         }
     }
 
+    /// Records that the attempt failed.
+    fn end_attempt(&mut self, failure: AttemptFailure) {
+        self.attempt.finish(match failure {
+            AttemptFailure::Stalled => AttemptResult::Stalled,
+            _ => AttemptResult::Failed,
+        });
+        if failure == AttemptFailure::ConnectionLost {
+            let stage = AttemptStage::of_stream(self.parts_read);
+            crashes::record_loss(&self.gateway, &self.call, &self.attempt.target, stage);
+            self.attempt.record_connection_failure();
+        }
+    }
+
+    /// Continues the stream after its attempt failed: with the hedge if there is one, or else with
+    /// another attempt.
+    async fn recover(&mut self, failure: AttemptFailure) -> Result<(), Reason> {
+        let mut target = self.attempt.target.clone();
+        let mut failure = failure;
+        if let Some(mut hedge) = self.hedge.take() {
+            self.attempts.record_failure(target.id, failure);
+            match hedge.wait().await {
+                Ok(answer) => {
+                    self.follow(answer, failure.reason());
+                    return Ok(());
+                }
+                Err(failed) => {
+                    target = failed.attempt.target.clone();
+                    failure = failed.failure;
+                }
+            }
+        }
+        self.check_retry(&target, failure)?;
+        self.resume(failure.reason()).await
+    }
+
     /// Aborts the stream and returns the error that closes the caller's connection.
     fn abort(&mut self, reason: Reason) -> Error {
         self.is_finished = true;
@@ -205,21 +235,130 @@
     }
 
     async fn read_part(&mut self) -> StreamPart {
-        let now = self.gateway.now();
-        let target = &self.attempt.target;
-        if self
-            .gateway
-            .fleet()
-            .try_abandon(target, &mut self.attempts, now)
-        {
-            return StreamPart::Abandoned;
+        if let Some(first) = self.first.take() {
+            return self.handle_frame(first.map(Ok));
         }
-        let frame = tokio::select! {
-            frame = self.body.frame() => frame,
-            () = wait_until_stalled(&self.gateway, &self.call, &self.attempt) => {
-                return StreamPart::Failed(AttemptFailure::Stalled);
+        let frame = loop {
+            self.hedge_if_slow();
+            tokio::select! {
+                frame = self.body.frame() => break frame,
+                answer = wait_hedge(self.hedge.as_mut()) => match answer {
+                    Ok(answer) => {
+                        self.replace_attempt(answer);
+                        break self.first.take().flatten().map(Ok);
+                    }
+                    Err(failed) => self.drop_hedge(&failed),
+                },
+                () = wait_until_stalled(&self.gateway, &self.call, &self.attempt) => {
+                    return StreamPart::Failed(AttemptFailure::Stalled);
+                }
             }
         };
+        let part = self.handle_frame(frame);
+        if !self.events.are_numbered() {
+            // The hedge repeats what arrived since it was sent, which would not be recognised.
+            self.hedge = None;
+        }
+        part
+    }
+
+    /// Sends a hedge if the replica delays its group.
+    fn hedge_if_slow(&mut self) {
+        if self.hedge.is_none() && self.gateway.fleet().delays_group(&self.attempt.target) {
+            self.send_hedge(HedgeCause::Slow);
+        }
+    }
+
+    fn send_hedge(&mut self, cause: HedgeCause) {
+        let now = self.gateway.now();
+        let is_recent = |at: Time| now.since(at) < HEDGE_CHECK_INTERVAL;
+        if self.refused.is_some_and(|(_, at)| is_recent(at)) {
+            return;
+        }
+        let hedge = Hedge::send(
+            &self.gateway,
+            &self.call,
+            &mut self.attempts,
+            &self.attempt.target,
+            cause,
+            self.events.last_id().cloned(),
+        );
+        match hedge {
+            Ok(hedge) => self.hedge = Some(hedge),
+            Err(refusal) => self.record_refusal(cause, refusal, now),
+        }
+    }
+
+    /// Records why no hedge was sent; logs it unless the latest one had the same reason.
+    fn record_refusal(&mut self, cause: HedgeCause, refusal: HedgeRefusal, now: Time) {
+        let previous = self.refused.replace((refusal, now));
+        if previous.is_none_or(|(previous, _)| previous != refusal) {
+            log::info!(
+                request:% = self.call.head.id,
+                server:% = self.attempt.target.id,
+                cause:% = cause.reason(),
+                refusal:% = refusal;
+                "hedge_not_sent"
+            );
+        }
+    }
+
+    /// Records that the hedge failed, so that the attempt beside it goes on alone.
+    fn drop_hedge(&mut self, failed: &FailedAttempt) {
+        let target = &failed.attempt.target;
+        log::info!(
+            request:% = self.call.head.id,
+            server:% = target.id,
+            reason:% = failed.failure.reason();
+            "hedge_failed"
+        );
+        self.attempts
+            .record_failure(target.id.clone(), failed.failure);
+        self.hedge = None;
+    }
+
+    /// Gives the attempt up for the hedge, which was answered.
+    fn replace_attempt(&mut self, answer: HedgeAnswer) {
+        let cause = self.hedge.take().map(|hedge| hedge.cause.reason());
+        self.attempt.finish(AttemptResult::Cancelled);
+        self.attempts
+            .record_replaced(self.attempt.target.id.clone());
+        self.follow(answer, cause.unwrap_or(Reason::SlowReplica));
+    }
+
+    /// Continues the stream with the answer of a hedge.
+    fn follow(&mut self, answer: HedgeAnswer, cause: Reason) {
+        self.log_resumed(cause);
+        let target = &answer.pending.attempt.target;
+        self.gateway.fleet().move_permit(target, &mut self.permit);
+        self.first = Some(answer.first);
+        self.set_attempt(answer.pending);
+    }
+
+    /// Makes an attempt with a successful response the current one.
+    fn set_attempt(&mut self, pending: PendingResponse) {
+        self.events.drop_partial();
+        self.attempt = pending.attempt;
+        self.connection = Some(pending.connection);
+        self.is_framed = is_framed(pending.response.headers());
+        self.body = pending.response.into_body();
+        self.parts_read = 0;
+        self.refused = None;
+        // The first event after a resume is no measure of latency for new requests.
+        self.has_first_event = true;
+    }
+
+    fn log_resumed(&self, cause: Reason) {
+        log::info!(
+            request:% = self.call.head.id,
+            after = self.events.last_id().map(SmolStr::as_str).unwrap_or_default(),
+            cause:% = cause;
+            "stream_resumed"
+        );
+    }
+
+    /// Handles the next frame of the body; `None` is its end.
+    fn handle_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> StreamPart {
         let data = match frame {
             None if self.events.has_partial() => {
                 return StreamPart::Failed(AttemptFailure::ConnectionLost);
@@ -308,12 +447,7 @@
         self.events.drop_partial();
         loop {
             let last_event = self.events.last_id().cloned();
-            log::info!(
-                request:% = self.call.head.id,
-                after = last_event.as_deref().unwrap_or_default(),
-                cause:% = cause;
-                "stream_resumed"
-            );
+            self.log_resumed(cause);
             let sent = send_attempt(
                 &self.gateway,
                 &self.call,
@@ -323,13 +457,7 @@
             );
             let (target, failure) = match sent.await? {
                 Ok(pending) if pending.response.status().is_success() => {
-                    self.attempt = pending.attempt;
-                    self.connection = Some(pending.connection);
-                    self.is_framed = is_framed(pending.response.headers());
-                    self.body = pending.response.into_body();
-                    self.parts_read = 0;
-                    // The first event after a resume is no measure of latency for new requests.
-                    self.has_first_event = true;
+                    self.set_attempt(pending);
                     return Ok(());
                 }
                 Ok(mut pending) => {
@@ -344,3 +472,11 @@
         }
     }
 }
+
+/// Waits for a hedge, or forever if there is none.
+async fn wait_hedge(hedge: Option<&mut Hedge>) -> Result<HedgeAnswer, FailedAttempt> {
+    match hedge {
+        Some(hedge) => hedge.wait().await,
+        None => std::future::pending().await,
+    }
+}
--- a/tests/integration/event_streams.rs
+++ b/tests/integration/event_streams.rs
@@ -53,3 +53,15 @@
     let mut events = EventBuffer::resume_after(Some("7".into()));
     assert_eq!(push(&mut events, &(event(7) + &event(8))), event(8));
 }
+
+/// Guards against repeated events of a hedge, which continues a stream from before the latest event:
+/// they are recognised by their numbers only.
+#[test]
+fn named_events_are_not_numbered() {
+    let mut events = EventBuffer::default();
+    assert!(events.are_numbered());
+    push(&mut events, &event(1));
+    assert!(events.are_numbered());
+    push(&mut events, "id: last\ndata: piece\n\n");
+    assert!(!events.are_numbered());
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -41,6 +41,7 @@
 mod limited_streams;
 mod map_orders;
 mod membership;
+mod moved_streams;
 mod operators;
 mod outcomes;
 mod overload_limit;
--- a/tests/integration/slow_ranks.rs
+++ b/tests/integration/slow_ranks.rs
@@ -2,12 +2,17 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use siskinbend_request::AttemptFailure;
 use siskinbend_request::DirectAttempts;
+use siskinbend_request::HedgeCause;
+use siskinbend_request::HedgeRefusal;
+use siskinbend_request::NextStep;
 use siskinbend_request::RetryBudget;
 use siskinbend_routing::Picker;
 use siskinbend_routing::PolicyKind;
 use siskinbend_routing::Requirements;
 use siskinbend_routing::slowdown::find_max_slowdown;
+use siskinbend_types::Reason;
 use siskinbend_types::Time;
 
 use crate::choice::agent;
@@ -84,38 +89,75 @@
     let deadline = Time::from_millis(8_000);
     let now = Time::from_millis(2_000);
     let mut budget = RetryBudget::new(1);
-    let mut single_attempt = DirectAttempts::new(true, 1, deadline);
-    single_attempt.start_attempt();
-    assert!(
-        !single_attempt.try_abandon(&agent(0), &mut budget, now),
-        "no more attempts"
+    let start = |idempotent, max_attempts| {
+        let mut attempts = DirectAttempts::new(idempotent, max_attempts, deadline);
+        attempts.start_attempt();
+        attempts
+    };
+    let check = |attempts: &DirectAttempts, budget: &RetryBudget, now| {
+        attempts.check_hedge(HedgeCause::Slow, budget, now)
+    };
+    assert_eq!(
+        check(&start(true, 1), &budget, now),
+        Err(HedgeRefusal::AttemptsUsed)
     );
-    let mut non_idempotent = DirectAttempts::new(false, 2, deadline);
-    non_idempotent.start_attempt();
-    assert!(
-        !non_idempotent.try_abandon(&agent(0), &mut budget, now),
-        "would run twice"
+    assert_eq!(
+        check(&start(false, 2), &budget, now),
+        Err(HedgeRefusal::NotIdempotent)
     );
-    let mut late = DirectAttempts::new(true, 2, deadline);
-    late.start_attempt();
     let end = Time::from_millis(7_800);
-    assert!(
-        !late.try_abandon(&agent(0), &mut budget, end),
-        "no time left"
+    assert_eq!(
+        check(&start(true, 2), &budget, end),
+        Err(HedgeRefusal::Late)
     );
-    let mut stream = DirectAttempts::new(true, 2, deadline);
+    let mut stream = start(true, 2);
+    assert_eq!(check(&stream, &budget, now), Ok(()));
     stream.start_attempt();
-    assert!(stream.try_abandon(&agent(0), &mut budget, now));
+    stream.record_replaced(agent(0));
     assert_eq!(stream.tried(), [agent(0)]);
-    stream.start_attempt();
-    assert!(
-        !stream.try_abandon(&agent(0), &mut budget, now),
+    assert_eq!(
+        check(&stream, &budget, now),
+        Err(HedgeRefusal::AttemptsUsed),
         "it moves only once"
     );
-    let mut without_budget = DirectAttempts::new(true, 2, deadline);
-    without_budget.start_attempt();
-    assert!(
-        !without_budget.try_abandon(&agent(0), &mut budget, now),
-        "no budget left"
+    assert!(budget.try_withdraw());
+    assert_eq!(
+        check(&start(true, 2), &budget, now),
+        Err(HedgeRefusal::NoBudget)
     );
 }
+
+/// Guards against a check that uses up the budget although no server for the hedge is found, and
+/// against connections that fail without end.
+#[test]
+fn checks_take_no_budget() {
+    let mut budget = RetryBudget::new(1);
+    let mut attempts = DirectAttempts::new(true, 2, Time::from_millis(8_000));
+    attempts.start_attempt();
+    let check = |attempts: &DirectAttempts, budget: &RetryBudget| {
+        attempts.check_hedge(HedgeCause::Slow, budget, Time::default())
+    };
+    for _ in 0..10 {
+        assert_eq!(check(&attempts, &budget), Ok(()));
+    }
+    for n in 1..5 {
+        assert_eq!(check(&attempts, &budget), Ok(()), "after {n}");
+        attempts.start_attempt();
+        attempts.record_failure(agent(n), AttemptFailure::NotSent);
+    }
+    assert_eq!(check(&attempts, &budget), Err(HedgeRefusal::AttemptsUsed));
+    assert!(budget.try_withdraw());
+}
+
+/// Guards against a request that is reported as not run although an attempt that was given up for a
+/// hedge ran it.
+#[test]
+fn replaced_attempt_has_run() {
+    let mut attempts = DirectAttempts::new(true, 2, Time::from_millis(8_000));
+    attempts.start_attempt();
+    attempts.start_attempt();
+    attempts.record_replaced(agent(0));
+    let refused = AttemptFailure::Refused(Reason::QueueFull);
+    let next = attempts.decide_next(agent(1), refused, &mut RetryBudget::new(9), Time::default());
+    assert_eq!(next, NextStep::Fail(Reason::QueueFull));
+}
