Take late requests at a stop only if they end before the exit

Cause: a request was taken with its full timeout whatever was left of the grace period, on any connection that was still open. Ruled out as a fix: closing connections earlier, since a request whose head or body is on its way is read to its end (late_body_is_refused), and a later exit, since SIGKILL comes at 8 s.

Change: StopSchedule. In the notice period, in which the balancer still sends callers, every request is taken. After it, only one whose deadline is before the exit; others are refused at once as not run, with Retry-After: 0. request_not_taken logs both times. Entries waited 60 s for their requests whatever a route allows; they now wait for the longest drain time of their document.

--- a/crates/document/src/model.rs
+++ b/crates/document/src/model.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -361,6 +362,12 @@
     pub fn find_service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|s| s.name.as_str() == name)
     }
+
+    /// Returns the longest drain time of a service; `None` if there is no service.
+    pub fn longest_drain(&self) -> Option<Duration> {
+        let longest = self.services.iter().map(|s| s.drain_ms).max();
+        longest.map(Duration::from_millis)
+    }
 }
 
 /// Splits a digest into words. Comparing words instead of bytes keeps a lookup over the planned 820
--- a/crates/request/src/call.rs
+++ b/crates/request/src/call.rs
@@ -26,7 +26,7 @@
 
 /// Time after which an unanswered cancel is given up. It is long enough to open a new connection to
 /// the agent, and it limits how long after the deadline a caller waits for the outcome.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time for which an entry tries to resume a broken stream; well under the configured stall
 /// timeouts.
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ledger;
 pub mod resume;
 pub mod retry_after;
+pub mod stop;
 
 pub use budget::RetryBudget;
 pub use call::Action;
@@ -35,3 +36,4 @@
 pub use ledger::LookupResult;
 pub use resume::ResumeBuffer;
 pub use resume::ResumeSettings;
+pub use stop::StopSchedule;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,10 +11,12 @@
 mod server;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use displaydoc::Display;
 use tokio_util::task::TaskTracker;
 
+use siskinbend_request::call::CANCEL_TIMEOUT;
 use siskinbend_store::Client;
 use siskinbend_types::Incarnation;
 use siskinbend_wire::TransportError;
@@ -68,6 +70,16 @@
     pub(crate) requests: TaskTracker,
 }
 
+impl Entry {
+    /// Returns the time within which every request that was taken ends: no route has a longer timeout
+    /// than its service's drain time.
+    fn drain_timeout(&self) -> Duration {
+        let document = self.active.document();
+        let longest = document.and_then(|document| document.longest_drain());
+        longest.map_or(limits::DRAIN_TIMEOUT, |drain| drain + CANCEL_TIMEOUT)
+    }
+}
+
 impl AdminState for Entry {
     fn is_ready(&self) -> bool {
         !self.shutdown.is_draining() && self.active.version().is_some()
@@ -210,7 +222,7 @@
     );
     entry.shutdown.wait().await;
     tokio::time::sleep(limits::DRAIN_GRACE_PERIOD).await;
-    server.drain(limits::DRAIN_TIMEOUT).await;
+    server.drain(entry.drain_timeout()).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"drained");
     // A timeout means that the network is down and peers can't receive the close frame.
     let _ = tokio::time::timeout(limits::CONTROL_TIMEOUT, endpoint.wait_idle()).await;
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -15,10 +15,12 @@
 use siskinbend_request::NextStep;
 use siskinbend_request::retry_after;
 use siskinbend_site::Config;
+use siskinbend_site::RequestHead;
 use siskinbend_site::config::KeyOwner;
 use siskinbend_types::Organisation;
 use siskinbend_types::Outcome;
 use siskinbend_types::Reason;
+use siskinbend_types::ServiceName;
 use siskinbend_types::Time;
 use tokio::time::timeout;
 
@@ -34,6 +36,8 @@
 /// Retry delay for callers whose request cannot be checked because the configuration is missing or
 /// too old.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Retry delay for callers of a gateway that stops: the balancer sends them to another one.
+const STOP_RETRY_DELAY: Duration = Duration::ZERO;
 /// Resolution of `Retry-After` in refusals.
 const RETRY_STEP: Duration = Duration::from_millis(10);
 /// Lowest priority that engines accept.
@@ -47,12 +51,12 @@
         Ok(call) => call,
         Err(reason) => {
             gateway.metrics.requests.record_refusal(reason);
-            let needs_config = matches!(reason, Reason::NoDocument | Reason::StoreUnavailable);
-            return problem_response(
-                reason,
-                Outcome::NotRun,
-                needs_config.then_some(CONFIG_RETRY_DELAY),
-            );
+            let retry_delay = match reason {
+                Reason::NoDocument | Reason::StoreUnavailable => Some(CONFIG_RETRY_DELAY),
+                Reason::Draining => Some(STOP_RETRY_DELAY),
+                _ => None,
+            };
+            return problem_response(reason, Outcome::NotRun, retry_delay);
         }
     };
     gateway.fleet().budget(&call.service).deposit();
@@ -203,8 +207,10 @@
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     let time_limit = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let deadline = received_at + time_limit;
+    check_stop(gateway, &head, &service, deadline)?;
     Ok(Call {
-        deadline: received_at + time_limit,
+        deadline,
         received_at,
         version: config.version,
         head,
@@ -225,6 +231,30 @@
     })
 }
 
+/// Returns an error if the process stops before the deadline of a request that has arrived late. The
+/// body has been read by then, so that the caller reads the refusal.
+fn check_stop(
+    gateway: &Gateway,
+    head: &RequestHead,
+    service: &ServiceName,
+    deadline: Time,
+) -> Result<(), Reason> {
+    let now = gateway.now();
+    match gateway.stop.get() {
+        Some(stop) if !stop.may_take(deadline, now) => {
+            log::info!(
+                request:% = head.id,
+                service:% = service,
+                left_ms = deadline.since(now).as_millis() as u64,
+                exit_ms = stop.time_left(now).as_millis() as u64;
+                "request_not_taken"
+            );
+            Err(Reason::Draining)
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Returns the priority at the engines; the organisation's priority overrides that of the route.
 fn find_priority(route: u8, owner: Option<&KeyOwner>) -> u8 {
     let priority = owner.and_then(|o| o.priority).unwrap_or(route);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,9 +29,11 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use siskinbend_link::BodyBudget;
+use siskinbend_request::StopSchedule;
 use siskinbend_site::Config;
 use siskinbend_site::CrashLog;
 use siskinbend_site::DeploymentView;
@@ -61,6 +63,8 @@
 const MAX_BUFFERED_BYTES: usize = 24 << 20;
 /// Part of the grace period reserved for the exit of the process after draining.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Time from the deadline of a request by which its answer has been sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Platform-specific parts of a gateway.
 pub struct PlatformAdapter {
@@ -82,6 +86,8 @@
     /// Time of the start, in Unix milliseconds.
     started_ms: u64,
     shutdown: Shutdown,
+    /// Set when the process is asked to stop.
+    stop: OnceLock<StopSchedule>,
     metrics: Metrics,
     peers: PeerClient,
     /// Memory for the responses that are buffered at the same time.
@@ -177,6 +183,15 @@
         self.metrics.encode()
     }
 
+    /// Waits until the process is asked to stop, and plans which requests it takes from then on.
+    async fn schedule_stop(self: Arc<Self>, drain_timeout: Duration) {
+        self.shutdown.wait().await;
+        let run_time = drain_timeout.saturating_sub(ANSWER_MARGIN);
+        let schedule = StopSchedule::new(self.now(), server::UNREADY_GRACE, run_time);
+        // Only this task sets it.
+        let _ = self.stop.set(schedule);
+    }
+
     fn is_ready(&self) -> bool {
         !self.shutdown.is_draining() && self.view().is_complete()
     }
@@ -212,6 +227,7 @@
         crashes: Crashes::default(),
         slow_start_added: Notify::new(),
         shutdown,
+        stop: OnceLock::new(),
         settings,
         adapter,
     });
@@ -239,6 +255,7 @@
     store_watch::start(&gateway);
     tokio::spawn(loads::run(Arc::clone(&gateway)));
     let drain_timeout = gateway.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
+    tokio::spawn(Arc::clone(&gateway).schedule_stop(drain_timeout));
     server::serve_callers(&gateway, listener, drain_timeout).await;
     log::info!(node:% = gateway.settings.node; "gateway_stopped");
     Ok(())
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -34,7 +34,7 @@
 
 /// Time for which new connections are still accepted after the process stopped being ready, so that
 /// the platform's load balancer stops sending connections first.
-const UNREADY_GRACE: Duration = Duration::from_millis(2_300);
+pub(super) const UNREADY_GRACE: Duration = Duration::from_millis(2_300);
 /// Margin added to the operators' idle timeout before a caller's connection is closed. Callers may
 /// reuse a connection until the timeout, and closing it must not race with a new request.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -43,8 +43,7 @@
 /// Interval at which an agent advances its dispatch window and drops expired attempts.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a draining entry waits for its requests; an agent without a document uses the
-/// same.
+/// Time for which a draining entry or agent without a document waits for its requests.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time for which a draining entry still accepts connections, so that the platform's balancer
--- a/tests/integration/document.rs
+++ b/tests/integration/document.rs
@@ -1,6 +1,8 @@
 //! Validation of the environment document. Guards against a fault that is accepted, reported at the
 //! wrong place, or hides another one.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use siskinbend_document::Document;
@@ -40,6 +42,22 @@
     }
 }
 
+/// Guards against an entry that stops before the end of a request that it took, because the request's
+/// route allows more time than the entry waits.
+#[test]
+fn entries_outlast_requests() {
+    for text in [ADEYEMI, AGENCIA] {
+        let text = text.replace("drain_ms = 60000", "drain_ms = 900000");
+        let document = Document::parse(&text).expect("valid");
+        let routes = document.services.iter().flat_map(|s| &s.routes);
+        let longest = routes.map(|r| r.timeout_ms).max().expect("a route");
+        let drain = document.longest_drain().expect("a service");
+        assert!(drain >= Duration::from_millis(longest));
+        let declared = document.services.iter().map(|s| s.drain_ms);
+        assert!(declared.max() == Some(drain.as_millis() as u64));
+    }
+}
+
 #[test]
 fn second_token_of_a_rotation_works() {
     // Otherwise an organisation would be locked out while it rotates its token.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -74,6 +74,7 @@
 mod slow_start;
 mod standins;
 mod status_page;
+mod stopping_gateway;
 mod store;
 mod subset_choice;
 mod switch;
