Send a hedge for a silent attempt instead of giving it up

Cause: the wait for data ended after 0.9 s of silence and the attempt was dropped as failed. Only then were the route's attempts and the retry budget checked. The log of the case shows both ends: stream_resumed and stream_cut (attempts used), and stream_cut alone (budget used up). Ruled out: the stop (streams are cut before it as well) and the length of 0.9 s (no bound is set for the silence of a sound server).

Change: silence sends a hedge and ends nothing. Before the head of an answer the attempts race, and the first success wins; between events, whichever sends data first goes on. An attempt ends with its deadline, a lost connection or its caller.

--- a/crates/request/src/direct.rs
+++ b/crates/request/src/direct.rs
@@ -32,7 +32,7 @@
     Failed,
     /// The connection was lost or the answer is invalid; the request may have run.
     ConnectionLost,
-    /// Nothing arrived within the stall timeout; the request may be running.
+    /// The answer was not complete at the deadline; the request may be running.
     Stalled,
 }
 
@@ -66,6 +66,8 @@
 pub enum HedgeCause {
     /// The backend server makes progress, but delays the others of its group.
     Slow,
+    /// Nothing arrives from the backend server, while others of its service respond.
+    Silent,
 }
 
 impl HedgeCause {
@@ -73,12 +75,14 @@
     pub fn reason(self) -> Reason {
         match self {
             HedgeCause::Slow => Reason::SlowReplica,
+            HedgeCause::Silent => Reason::Stalled,
         }
     }
 
     fn min_time(self) -> Duration {
         match self {
             HedgeCause::Slow => MIN_MOVE_TIME,
+            HedgeCause::Silent => MIN_RETRY_TIME,
         }
     }
 }
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -364,6 +364,17 @@
         }
     }
 
+    /// Records that a dispatched attempt is silent, and that it goes on nevertheless.
+    pub fn record_silence(&mut self, agent: &AgentId, now: Time) {
+        let health = &self.settings.health;
+        let Some(replica) = self.replicas.get_mut(agent) else {
+            return;
+        };
+        if replica.health.record_failure(health, now) {
+            self.eject(agent, EjectionCause::Failed, now);
+        }
+    }
+
     /// Returns the state of each replica for the status page.
     pub fn explain(&self, now: Time) -> Vec<Explanation> {
         let peers = self.estimate_peers();
--- a/crates/standins/src/site/replica.rs
+++ b/crates/standins/src/site/replica.rs
@@ -55,6 +55,10 @@
     pub cut_after: AtomicU32,
     /// Delay of the first event of each answer in milliseconds.
     pub delay_ms: AtomicU32,
+    /// Delay of the head of each answer in milliseconds, after the request was executed.
+    pub head_delay_ms: AtomicU32,
+    /// Number of events of an answer after which it is interrupted, and for how long.
+    pub interruption: Mutex<Option<(u32, Duration)>>,
     /// Delay before each event in milliseconds.
     pub interval_ms: AtomicU32,
     /// Rejects every request with status 503 and marks it as not executed.
@@ -111,6 +115,8 @@
             runs: Mutex::default(),
             cut_after: AtomicU32::new(0),
             delay_ms: AtomicU32::new(0),
+            head_delay_ms: AtomicU32::new(0),
+            interruption: Mutex::default(),
             interval_ms: AtomicU32::new(EVENT_INTERVAL.as_millis() as u32),
             overloaded: AtomicBool::new(false),
             lose_answers: AtomicBool::new(false),
@@ -235,6 +241,10 @@
 async fn run(State(replica): State<Arc<Replica>>, request: Request<Body>) -> Response {
     lock(&replica.arrivals).push(Instant::now());
     let mut response = run_limited(&replica, &request);
+    if response.status().is_success() {
+        let delay_ms = replica.head_delay_ms.load(Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(delay_ms.into())).await;
+    }
     if let Some(cold_ms) = *lock(&replica.cold_ms) {
         let headers = response.headers_mut();
         headers.insert("x-cold-ms", cold_ms.into());
@@ -323,6 +333,12 @@
             delay_ms += stream.replica.delay_ms.load(Ordering::Relaxed);
         }
         tokio::time::sleep(Duration::from_millis(delay_ms.into())).await;
+        let interruption = *lock(&stream.replica.interruption);
+        if let Some((events, duration)) = interruption
+            && stream.next_event == stream.after + events + 1
+        {
+            tokio::time::sleep(duration).await;
+        }
         if stream.cut_after > 0 && stream.next_event > stream.cut_after + 1 {
             stream.finished = true;
             return Some((Err(DroppedResponse), stream));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -37,6 +37,7 @@
 use siskinbend_types::Time;
 use siskinbend_types::Version;
 use smol_str::SmolStr;
+use tokio::time::timeout;
 
 use super::Gateway;
 use super::crashes;
@@ -46,14 +47,10 @@
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
 use super::ignored_headers;
+use super::race::Race;
 
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Interval at which an attempt without a response is checked for a stall.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum silence of a backend server before an attempt is abandoned, while other backend servers
-/// of the service respond.
-const MAX_SILENCE: Duration = Duration::from_millis(900);
 
 /// Admitted request of a caller.
 pub(super) struct Call {
@@ -154,7 +151,8 @@
     }
 }
 
-/// Sends a request to one backend server. A permit is moved to the server's group.
+/// Sends a request to a backend server, and to further ones while all that got it are silent. A permit
+/// is moved to the group of the server that answers.
 ///
 /// # Errors
 ///
@@ -163,19 +161,31 @@
     gateway: &Arc<Gateway>,
     call: &Call,
     attempts: &mut DirectAttempts,
-    permit: Option<&mut AdmissionPermit>,
+    mut permit: Option<&mut AdmissionPermit>,
     last_event: Option<SmolStr>,
 ) -> Result<Result<PendingResponse, FailedAttempt>, Reason> {
     gateway.crashes.wait_until_checked(call).await;
     evacuations::wait_until_checked(gateway, call).await;
     let now = gateway.now();
     check_blocked(gateway, call, now)?;
-    let target =
-        gateway
-            .fleet()
-            .choose(&call.service, attempts.tried(), &call.regions, permit, now)?;
+    let target = gateway.fleet().choose(
+        &call.service,
+        attempts.tried(),
+        &call.regions,
+        permit.as_deref_mut(),
+        now,
+    )?;
     let attempt = start_attempt(gateway, call, attempts, target, last_event.as_ref());
-    Ok(run_attempt(gateway, call, attempt, last_event).await)
+    let first = attempt.target.id.clone();
+    let answer = Race::new(gateway, call, attempts, last_event)
+        .run(attempt)
+        .await;
+    if let (Ok(pending), Some(permit)) = (&answer, permit)
+        && pending.attempt.target.id != first
+    {
+        gateway.fleet().move_permit(&pending.attempt.target, permit);
+    }
+    Ok(answer)
 }
 
 /// Starts an attempt at a chosen backend server and logs what the choice was based on.
@@ -304,11 +314,8 @@
     let codec = &gateway.adapter.headers;
     codec.encode_forward(request.headers_mut(), &head);
     let result = {
-        let sending = connection.send(request);
-        tokio::select! {
-            result = sending => result,
-            () = wait_until_stalled(gateway, call, &attempt) => Err(ConnectionError::Timeout),
-        }
+        let sending = timeout(call.time_left(sent_at), connection.send(request));
+        sending.await.unwrap_or(Err(ConnectionError::Timeout))
     };
     let response = match result {
         Ok(response) => response,
@@ -465,36 +472,3 @@
         }
     }
 }
-
-/// Waits until an attempt should be abandoned: at the deadline, or earlier if the request may be
-/// retried and the backend server is silent while others respond.
-pub(super) async fn wait_until_stalled(
-    gateway: &Arc<Gateway>,
-    call: &Call,
-    attempt: &AttemptGuard,
-) {
-    let started = gateway.now();
-    let max_silence = MAX_SILENCE.min(max_silence(call));
-    loop {
-        let now = gateway.now();
-        if now >= call.deadline {
-            return;
-        }
-        let is_retryable = call.route.kind.is_retryable();
-        if is_retryable
-            && gateway
-                .fleet()
-                .measure_silence(&attempt.target, started, now)
-                >= max_silence
-        {
-            return;
-        }
-        tokio::time::sleep(STALL_CHECK_INTERVAL.min(call.time_left(now))).await;
-    }
-}
-
-/// Returns the maximum silence that leaves enough time for an attempt at another backend server.
-fn max_silence(call: &Call) -> Duration {
-    let total = call.deadline.since(call.received_at);
-    (total / 3).max(Duration::from_millis(150))
-}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -59,6 +59,7 @@
 pub(super) use state::PausedServer;
 pub(super) use state::ServiceState;
 
+pub(super) use choice::HedgeRequest;
 pub(super) use limits::StreamTiming;
 pub(super) use queue::Admission;
 pub(super) use queue::StartedRequest;
@@ -380,6 +381,13 @@
             .record_result(&target.id, result, now);
     }
 
+    /// Records that an attempt is silent, and that it goes on nevertheless.
+    pub fn record_silence(&mut self, target: &Target, now: Time) {
+        self.service(&target.service)
+            .picker
+            .record_silence(&target.id, now);
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&mut self, target: &Target, latency: Duration, now: Time) {
         self.service(&target.service)
--- a/src/gateway/fleet/choice.rs
+++ b/src/gateway/fleet/choice.rs
@@ -19,6 +19,16 @@
 use super::signals;
 use crate::gateway::guards::AdmissionPermit;
 
+/// Request for which a hedge is to be sent.
+pub(in crate::gateway) struct HedgeRequest<'call> {
+    pub service: &'call ServiceName,
+    /// Backend servers that run the request already.
+    pub running: &'call [&'call Target],
+    /// Regions that the request may run in.
+    pub regions: &'call RegionSet,
+    pub cause: HedgeCause,
+}
+
 /// Choice that found no backend server.
 struct FailedChoice<'call> {
     /// Error of the choice.
@@ -73,23 +83,22 @@
         Ok(target)
     }
 
-    /// Chooses a backend server for a hedge beside the attempt at `running`, and records the hedge as
+    /// Chooses a backend server for a hedge beside the attempts that run, and records the hedge as
     /// sent to it. Only a hedge that is sent takes a retry from the budget.
     ///
-    /// The request's permit stays with the group of `running` until the hedge is answered.
+    /// The request's permit stays with the group that it has until the hedge is answered.
     pub fn choose_hedge(
         &mut self,
-        running: &Target,
+        request: &HedgeRequest<'_>,
         attempts: &DirectAttempts,
-        regions: &RegionSet,
-        cause: HedgeCause,
         now: Time,
     ) -> Result<Target, HedgeRefusal> {
-        let service = &running.service;
+        let HedgeRequest { service, cause, .. } = *request;
         attempts.check_hedge(cause, &self.service(service).budget, now)?;
-        let avoid = [attempts.tried(), std::slice::from_ref(&running.id)].concat();
+        let running = request.running.iter().map(|target| target.id.clone());
+        let avoid: Vec<AgentId> = attempts.tried().iter().cloned().chain(running).collect();
         let id = self
-            .find_usable(service, &avoid, regions, false, now)
+            .find_usable(service, &avoid, request.regions, false, now)
             .map_err(HedgeRefusal::NoServer)?;
         let routing = self.service(service);
         if cause == HedgeCause::Slow && routing.picker.delays_group(&id) {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -17,6 +18,7 @@
 use siskinbend_request::HedgeRefusal;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::AttemptStage;
+use siskinbend_types::Time;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -28,7 +30,9 @@
 use super::attempt::run_attempt;
 use super::attempt::start_attempt;
 use super::crashes;
+use super::fleet::HedgeRequest;
 use super::fleet::Target;
+use super::guards::AttemptGuard;
 use super::stream::is_framed;
 
 /// Answer of a hedge that has brought data.
@@ -39,6 +43,9 @@
     pub first: Option<Frame<Bytes>>,
 }
 
+/// Interval at which a refused hedge is checked again; each check looks at all replicas.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 type HedgeResult = Result<HedgeAnswer, FailedAttempt>;
 
 /// Hedge that has not brought data.
@@ -48,38 +55,23 @@
 }
 
 impl Hedge {
-    /// Sends a hedge, which continues the stream after the event `last_event`, to another backend
-    /// server than `running`.
-    ///
-    /// # Errors
-    ///
-    /// Returns why none is sent.
-    pub fn send(
+    /// Runs an attempt, which continues the stream after the event `last_event`, as a hedge.
+    pub fn new(
         gateway: &Arc<Gateway>,
         call: &Arc<Call>,
-        attempts: &mut DirectAttempts,
-        running: &Target,
+        attempt: AttemptGuard,
         cause: HedgeCause,
         last_event: Option<SmolStr>,
-    ) -> Result<Hedge, HedgeRefusal> {
-        let now = gateway.now();
-        if !may_send(gateway, call, now) {
-            return Err(HedgeRefusal::Unchecked);
-        }
-        let target = gateway
-            .fleet()
-            .choose_hedge(running, attempts, &call.regions, cause, now)?;
-        gateway.metrics.requests.record_retry(cause.reason());
-        let attempt = start_attempt(gateway, call, attempts, target, last_event.as_ref());
+    ) -> Hedge {
         let (gateway, call) = (Arc::clone(gateway), Arc::clone(call));
         let result = async move {
             let pending = run_attempt(&gateway, &call, attempt, last_event).await?;
             read_first(&gateway, &call, pending).await
         };
-        Ok(Hedge {
+        Hedge {
             cause,
             result: Box::pin(result),
-        })
+        }
     }
 
     /// Waits until the hedge has brought data or failed.
@@ -88,6 +80,85 @@
     }
 }
 
+/// Starts the hedges of one request, and logs why one is not sent.
+pub(super) struct Hedges {
+    gateway: Arc<Gateway>,
+    /// Why the latest hedge was not sent, and when.
+    refused: Option<(HedgeRefusal, Time)>,
+}
+
+impl Hedges {
+    pub fn new(gateway: &Arc<Gateway>) -> Hedges {
+        Hedges {
+            gateway: Arc::clone(gateway),
+            refused: None,
+        }
+    }
+
+    /// Starts an attempt beside those at `running`; `None` if the request stays with these.
+    pub fn start(
+        &mut self,
+        call: &Call,
+        attempts: &mut DirectAttempts,
+        running: &[&Target],
+        cause: HedgeCause,
+        last_event: Option<&SmolStr>,
+    ) -> Option<AttemptGuard> {
+        let now = self.gateway.now();
+        let is_recent = |at: Time| now.since(at) < RECHECK_INTERVAL;
+        if self.refused.is_some_and(|(_, at)| is_recent(at)) {
+            return None;
+        }
+        let request = HedgeRequest {
+            service: &call.service,
+            running,
+            regions: &call.regions,
+            cause,
+        };
+        let chosen = match may_send(&self.gateway, call, now) {
+            true => self.gateway.fleet().choose_hedge(&request, attempts, now),
+            false => Err(HedgeRefusal::Unchecked),
+        };
+        match chosen {
+            Ok(target) => {
+                self.refused = None;
+                self.gateway.metrics.requests.record_retry(cause.reason());
+                let attempt = start_attempt(&self.gateway, call, attempts, target, last_event);
+                Some(attempt)
+            }
+            Err(refusal) => {
+                self.record_refusal(call, cause, refusal, now);
+                None
+            }
+        }
+    }
+
+    /// Records why no hedge was sent; logs it unless the latest one had the same reason.
+    fn record_refusal(&mut self, call: &Call, cause: HedgeCause, refusal: HedgeRefusal, now: Time) {
+        let previous = self.refused.replace((refusal, now));
+        if previous.is_none_or(|(previous, _)| previous != refusal) {
+            log::info!(
+                request:% = call.head.id,
+                cause:% = cause.reason(),
+                refusal:% = refusal;
+                "hedge_not_sent"
+            );
+        }
+    }
+}
+
+/// Records that a hedge failed, so that the attempts beside it go on without it.
+pub(super) fn record_failure(call: &Call, attempts: &mut DirectAttempts, failed: &FailedAttempt) {
+    let target = &failed.attempt.target;
+    log::info!(
+        request:% = call.head.id,
+        server:% = target.id,
+        reason:% = failed.failure.reason();
+        "hedge_failed"
+    );
+    attempts.record_failure(target.id.clone(), failed.failure);
+}
+
 /// Reads the first part of a stream's body.
 async fn read_first(gateway: &Arc<Gateway>, call: &Call, pending: PendingResponse) -> HedgeResult {
     let mut pending = pending;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,7 +3,6 @@
 
 use std::io::Error;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -20,13 +19,13 @@
 use siskinbend_request::DirectAttempts;
 use siskinbend_request::EventBuffer;
 use siskinbend_request::HedgeCause;
-use siskinbend_request::HedgeRefusal;
 use siskinbend_request::NextStep;
 use siskinbend_routing::AttemptResult;
 use siskinbend_routing::AttemptStage;
 use siskinbend_types::Reason;
 use siskinbend_types::Time;
 use smol_str::SmolStr;
+use tokio::time::sleep;
 
 use super::Gateway;
 use super::attempt::Call;
@@ -35,7 +34,6 @@
 use super::attempt::decide_next;
 use super::attempt::send_attempt;
 use super::attempt::strip_hop_by_hop;
-use super::attempt::wait_until_stalled;
 use super::buffered;
 use super::crashes;
 use super::fleet::StreamTiming;
@@ -43,17 +41,19 @@
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
 use super::handler::refuse;
+use super::hedge;
 use super::hedge::Hedge;
 use super::hedge::HedgeAnswer;
+use super::hedge::Hedges;
 use super::response::Body;
 use super::returns;
+use super::silence::CHECK_INTERVAL;
+use super::silence::SilenceDetector;
 use super::waiting;
 
 /// Fraction of the latency goal within which the first event must arrive to count as in time. The
 /// rest is left for the round trip to the caller.
 const GOAL_FRACTION: f64 = 0.9;
-/// Interval at which a refused hedge is checked again; each check looks at all replicas.
-const HEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// State of a stream that is being forwarded.
 struct StreamRelay {
@@ -64,8 +64,7 @@
     attempt: AttemptGuard,
     /// Attempt that may replace `attempt`.
     hedge: Option<Hedge>,
-    /// Why the latest hedge was not sent, and when.
-    refused: Option<(HedgeRefusal, Time)>,
+    hedges: Hedges,
     /// First part of the body that was read with the head of a hedge's answer.
     first: Option<Option<Frame<Bytes>>>,
     connection: Option<Connection>,
@@ -147,7 +146,7 @@
         attempts,
         attempt: pending.attempt,
         hedge: None,
-        refused: None,
+        hedges: Hedges::new(gateway),
         first: None,
         connection: Some(pending.connection),
         body,
@@ -238,8 +237,14 @@
         if let Some(first) = self.first.take() {
             return self.handle_frame(first.map(Ok));
         }
+        let mut silence = SilenceDetector::new(self.gateway.now());
         let frame = loop {
             self.hedge_if_slow();
+            let now = self.gateway.now();
+            if now >= self.call.deadline {
+                return StreamPart::Failed(AttemptFailure::Stalled);
+            }
+            let check_after = CHECK_INTERVAL.min(self.call.time_left(now));
             tokio::select! {
                 frame = self.body.frame() => break frame,
                 answer = wait_hedge(self.hedge.as_mut()) => match answer {
@@ -249,15 +254,12 @@
                     }
                     Err(failed) => self.drop_hedge(&failed),
                 },
-                () = wait_until_stalled(&self.gateway, &self.call, &self.attempt) => {
-                    return StreamPart::Failed(AttemptFailure::Stalled);
-                }
+                () = sleep(check_after) => self.hedge_if_silent(&mut silence),
             }
         };
         let part = self.handle_frame(frame);
-        if !self.events.are_numbered() {
-            // The hedge repeats what arrived since it was sent, which would not be recognised.
-            self.hedge = None;
+        if let StreamPart::Events(_) = part {
+            self.keep_hedge_if_needed();
         }
         part
     }
@@ -269,51 +271,38 @@
         }
     }
 
-    fn send_hedge(&mut self, cause: HedgeCause) {
-        let now = self.gateway.now();
-        let is_recent = |at: Time| now.since(at) < HEDGE_CHECK_INTERVAL;
-        if self.refused.is_some_and(|(_, at)| is_recent(at)) {
-            return;
-        }
-        let hedge = Hedge::send(
-            &self.gateway,
-            &self.call,
-            &mut self.attempts,
-            &self.attempt.target,
-            cause,
-            self.events.last_id().cloned(),
-        );
-        match hedge {
-            Ok(hedge) => self.hedge = Some(hedge),
-            Err(refusal) => self.record_refusal(cause, refusal, now),
+    /// Drops the hedge after events have arrived without it, if the replica was only silent, or if
+    /// the hedge would repeat them unrecognised.
+    fn keep_hedge_if_needed(&mut self) {
+        let is_needed = |hedge: &Hedge| hedge.cause != HedgeCause::Silent;
+        if !self.hedge.as_ref().is_some_and(is_needed) || !self.events.are_numbered() {
+            self.hedge = None;
         }
     }
 
-    /// Records why no hedge was sent; logs it unless the latest one had the same reason.
-    fn record_refusal(&mut self, cause: HedgeCause, refusal: HedgeRefusal, now: Time) {
-        let previous = self.refused.replace((refusal, now));
-        if previous.is_none_or(|(previous, _)| previous != refusal) {
-            log::info!(
-                request:% = self.call.head.id,
-                server:% = self.attempt.target.id,
-                cause:% = cause.reason(),
-                refusal:% = refusal;
-                "hedge_not_sent"
-            );
+    /// Sends a hedge if the replica is silent.
+    fn hedge_if_silent(&mut self, silence: &mut SilenceDetector) {
+        let target = &self.attempt.target;
+        if silence.is_silent(&self.gateway, &self.call, target) && self.hedge.is_none() {
+            self.send_hedge(HedgeCause::Silent);
         }
     }
 
+    fn send_hedge(&mut self, cause: HedgeCause) {
+        let running = [&self.attempt.target];
+        let last_event = self.events.last_id();
+        let attempt =
+            self.hedges
+                .start(&self.call, &mut self.attempts, &running, cause, last_event);
+        self.hedge = attempt.map(|attempt| {
+            let last_event = last_event.cloned();
+            Hedge::new(&self.gateway, &self.call, attempt, cause, last_event)
+        });
+    }
+
     /// Records that the hedge failed, so that the attempt beside it goes on alone.
     fn drop_hedge(&mut self, failed: &FailedAttempt) {
-        let target = &failed.attempt.target;
-        log::info!(
-            request:% = self.call.head.id,
-            server:% = target.id,
-            reason:% = failed.failure.reason();
-            "hedge_failed"
-        );
-        self.attempts
-            .record_failure(target.id.clone(), failed.failure);
+        hedge::record_failure(&self.call, &mut self.attempts, failed);
         self.hedge = None;
     }
 
@@ -343,7 +332,6 @@
         self.is_framed = is_framed(pending.response.headers());
         self.body = pending.response.into_body();
         self.parts_read = 0;
-        self.refused = None;
         // The first event after a resume is no measure of latency for new requests.
         self.has_first_event = true;
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -69,6 +69,7 @@
 mod sample;
 mod server_limits;
 mod server_signals;
+mod silent_servers;
 mod site_view;
 mod slow_ranks;
 mod slow_start;
