--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -134,12 +134,7 @@
         let store = Arc::new(Store::default());
         let address = server::spawn(Arc::clone(&store).build_router()).await?;
         let subnet = FIRST_SUBNET + SITES.fetch_add(1, Ordering::Relaxed) % SUBNETS;
-        let shape = GroupShape {
-            ranks,
-            sets: 2,
-            experts: 12,
-            placements: 12 / ranks + 2,
-        };
+        let shape = GroupShape::of_ranks(ranks);
         let groups: Vec<Arc<Group>> = (0..groups)
             .map(|n| Arc::new(Group::new(format!("g0-{n}"), shape)))
             .collect();
--- a/crates/standins/src/site/ranks.rs
+++ b/crates/standins/src/site/ranks.rs
@@ -27,6 +27,19 @@
     pub placements: usize,
 }
 
+impl GroupShape {
+    /// Returns the shape of a group with two sets of twelve experts and two spare places a rank.
+    pub fn of_ranks(ranks: usize) -> GroupShape {
+        let experts = 12;
+        GroupShape {
+            ranks,
+            sets: 2,
+            experts,
+            placements: experts / ranks + 2,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Rank {
     /// Version of the map in force.
--- a/tests/integration/cold_servers.rs
+++ b/tests/integration/cold_servers.rs
@@ -44,12 +44,7 @@
 async fn cold_server_gets_few_requests() {
     let deployment = Deployment::start().await;
     let second = Gateway::start(&deployment.site, 1).await;
-    let shape = GroupShape {
-        ranks: RANKS,
-        sets: 2,
-        experts: 12,
-        placements: 12 / RANKS + 2,
-    };
+    let shape = GroupShape::of_ranks(RANKS);
     let mut config = build_config(2, &shape);
     let service = &mut config["services"][1];
     (service["coldStartS"], service["coldPerS"]) = (3.into(), RATE.into());
--- a/tests/integration/evacuated_zones.rs
+++ b/tests/integration/evacuated_zones.rs
@@ -35,12 +35,7 @@
 /// plain service has a slow start.
 async fn start_site() -> Site {
     let site = Site::start(RANKS).await.expect("the stand-ins start");
-    let shape = GroupShape {
-        ranks: RANKS,
-        sets: 2,
-        experts: 12,
-        placements: 6,
-    };
+    let shape = GroupShape::of_ranks(RANKS);
     let mut config = build_config(2, &shape);
     config["services"][1]["coldStartS"] = json!(2);
     config["services"][1]["coldPerS"] = json!(50);
--- a/tests/integration/gateway_shell.rs
+++ b/tests/integration/gateway_shell.rs
@@ -253,12 +253,7 @@
     );
     store.set_mode(StoreMode::Available);
     store.compact_history();
-    let shape = GroupShape {
-        ranks: RANKS,
-        sets: 2,
-        experts: 12,
-        placements: 6,
-    };
+    let shape = GroupShape::of_ranks(RANKS);
     let mut config = build_config(9, &shape);
     config["routes"][1]["prefix"] = "/moved/".into();
     store.put_json("op", "config", &config);
--- a/tests/integration/restored_store.rs
+++ b/tests/integration/restored_store.rs
@@ -25,12 +25,7 @@
 
 /// Builds a configuration with the plain service at one more prefix.
 fn config_with_route(version: u64, prefix: &str) -> Value {
-    let shape = GroupShape {
-        ranks: RANKS,
-        sets: 2,
-        experts: 12,
-        placements: 6,
-    };
+    let shape = GroupShape::of_ranks(RANKS);
     let mut config = build_config(version, &shape);
     let mut route = config["routes"][2].clone();
     (route["name"], route["prefix"]) = (json!(prefix), json!(prefix));
--- a/tests/integration/status_page.rs
+++ b/tests/integration/status_page.rs
@@ -53,12 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn regions_are_enforced() {
     let deployment = Deployment::start().await;
-    let shape = GroupShape {
-        ranks: RANKS,
-        sets: 2,
-        experts: 12,
-        placements: 12 / RANKS + 2,
-    };
+    let shape = GroupShape::of_ranks(RANKS);
     let mut config = build_config(2, &shape);
     config["tenants"][0]["allowedRegions"] = serde_json::json!(["north"]);
     deployment.site.store.put_json("op", "config", &config);
