Keep a hedge until a whole event has arrived without it

A silent server that sends a part of an event ended the hedge, and one that then broke off left the stream to a third attempt, which the route may not allow. The hedge is now dropped when a whole event has arrived. The first part of a hedge's answer is a plain frame, and only streams log hedge_failed, as the attempt's own lines say the rest.

--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -38,9 +38,8 @@
 /// Answer of a hedge that has brought data.
 pub(super) struct HedgeAnswer {
     pub pending: PendingResponse,
-    /// First part of the body; `None` if the body is empty, because the other attempt has sent all
-    /// events.
-    pub first: Option<Frame<Bytes>>,
+    /// First part of the body. It has no data if the other attempt has sent all events already.
+    pub first: Frame<Bytes>,
 }
 
 /// Interval at which a refused hedge is checked again; each check looks at all replicas.
@@ -147,18 +146,6 @@
     }
 }
 
-/// Records that a hedge failed, so that the attempts beside it go on without it.
-pub(super) fn record_failure(call: &Call, attempts: &mut DirectAttempts, failed: &FailedAttempt) {
-    let target = &failed.attempt.target;
-    log::info!(
-        request:% = call.head.id,
-        server:% = target.id,
-        reason:% = failed.failure.reason();
-        "hedge_failed"
-    );
-    attempts.record_failure(target.id.clone(), failed.failure);
-}
-
 /// Reads the first part of a stream's body.
 async fn read_first(gateway: &Arc<Gateway>, call: &Call, pending: PendingResponse) -> HedgeResult {
     let mut pending = pending;
@@ -171,17 +158,10 @@
     let framed = is_framed(pending.response.headers());
     let frame = pending.response.body_mut().frame();
     let (result, failure) = match timeout(call.time_left(gateway.now()), frame).await {
-        Ok(Some(Ok(first))) => {
-            return Ok(HedgeAnswer {
-                pending,
-                first: Some(first),
-            });
-        }
+        Ok(Some(Ok(first))) => return Ok(HedgeAnswer { pending, first }),
         Ok(None) if framed => {
-            return Ok(HedgeAnswer {
-                pending,
-                first: None,
-            });
+            let first = Frame::data(Bytes::new());
+            return Ok(HedgeAnswer { pending, first });
         }
         Ok(Some(Err(_)) | None) => {
             crashes::record_loss(gateway, call, &target, AttemptStage::of_stream(0));
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -22,7 +22,6 @@
 use super::attempt::run_attempt;
 use super::fleet::Target;
 use super::guards::AttemptGuard;
-use super::hedge;
 use super::hedge::Hedges;
 use super::silence::CHECK_INTERVAL;
 use super::silence::SilenceDetector;
@@ -143,15 +142,20 @@
             }
             Err(failed) if is_last => Some(match self.error.take() {
                 Some(pending) => {
-                    hedge::record_failure(self.call, self.attempts, &failed);
+                    self.record_failure(&failed);
                     Ok(pending)
                 }
                 None => Err(failed),
             }),
             Err(failed) => {
-                hedge::record_failure(self.call, self.attempts, &failed);
+                self.record_failure(&failed);
                 None
             }
         }
     }
+
+    fn record_failure(&mut self, failed: &FailedAttempt) {
+        let target = failed.attempt.target.id.clone();
+        self.attempts.record_failure(target, failed.failure);
+    }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -41,7 +41,6 @@
 use super::guards::AdmissionPermit;
 use super::guards::AttemptGuard;
 use super::handler::refuse;
-use super::hedge;
 use super::hedge::Hedge;
 use super::hedge::HedgeAnswer;
 use super::hedge::Hedges;
@@ -65,8 +64,8 @@
     /// Attempt that may replace `attempt`.
     hedge: Option<Hedge>,
     hedges: Hedges,
-    /// First part of the body that was read with the head of a hedge's answer.
-    first: Option<Option<Frame<Bytes>>>,
+    /// First part of the body, if it was read before the attempt became the current one.
+    first: Option<Frame<Bytes>>,
     connection: Option<Connection>,
     body: Incoming,
     /// Whether the end of the body is marked, so that it differs from a lost connection.
@@ -235,7 +234,7 @@
 
     async fn read_part(&mut self) -> StreamPart {
         if let Some(first) = self.first.take() {
-            return self.handle_frame(first.map(Ok));
+            return self.handle_frame(Some(Ok(first)));
         }
         let mut silence = SilenceDetector::new(self.gateway.now());
         let frame = loop {
@@ -247,10 +246,10 @@
             let check_after = CHECK_INTERVAL.min(self.call.time_left(now));
             tokio::select! {
                 frame = self.body.frame() => break frame,
-                answer = wait_hedge(self.hedge.as_mut()) => match answer {
+                (cause, answer) = wait_hedge(self.hedge.as_mut()) => match answer {
                     Ok(answer) => {
-                        self.replace_attempt(answer);
-                        break self.first.take().flatten().map(Ok);
+                        self.replace_attempt(answer, cause);
+                        break self.first.take().map(Ok);
                     }
                     Err(failed) => self.drop_hedge(&failed),
                 },
@@ -258,7 +257,9 @@
             }
         };
         let part = self.handle_frame(frame);
-        if let StreamPart::Events(_) = part {
+        if let StreamPart::Events(events) = &part
+            && !events.is_empty()
+        {
             self.keep_hedge_if_needed();
         }
         part
@@ -302,17 +303,24 @@
 
     /// Records that the hedge failed, so that the attempt beside it goes on alone.
     fn drop_hedge(&mut self, failed: &FailedAttempt) {
-        hedge::record_failure(&self.call, &mut self.attempts, failed);
+        let target = &failed.attempt.target.id;
+        log::info!(
+            request:% = self.call.head.id,
+            server:% = target,
+            reason:% = failed.failure.reason();
+            "hedge_failed"
+        );
+        self.attempts.record_failure(target.clone(), failed.failure);
         self.hedge = None;
     }
 
     /// Gives the attempt up for the hedge, which was answered.
-    fn replace_attempt(&mut self, answer: HedgeAnswer) {
-        let cause = self.hedge.take().map(|hedge| hedge.cause.reason());
+    fn replace_attempt(&mut self, answer: HedgeAnswer, cause: HedgeCause) {
+        self.hedge = None;
         self.attempt.finish(AttemptResult::Cancelled);
         self.attempts
             .record_replaced(self.attempt.target.id.clone());
-        self.follow(answer, cause.unwrap_or(Reason::SlowReplica));
+        self.follow(answer, cause.reason());
     }
 
     /// Continues the stream with the answer of a hedge.
@@ -462,9 +470,9 @@
 }
 
 /// Waits for a hedge, or forever if there is none.
-async fn wait_hedge(hedge: Option<&mut Hedge>) -> Result<HedgeAnswer, FailedAttempt> {
+async fn wait_hedge(hedge: Option<&mut Hedge>) -> (HedgeCause, Result<HedgeAnswer, FailedAttempt>) {
     match hedge {
-        Some(hedge) => hedge.wait().await,
+        Some(hedge) => (hedge.cause, hedge.wait().await),
         None => std::future::pending().await,
     }
 }
--- a/tests/integration/silent_servers.rs
+++ b/tests/integration/silent_servers.rs
@@ -43,12 +43,7 @@
 impl SilentServers {
     async fn start() -> SilentServers {
         let deployment = Deployment::start().await;
-        let shape = GroupShape {
-            ranks: RANKS,
-            sets: 2,
-            experts: 12,
-            placements: 12 / RANKS + 2,
-        };
+        let shape = GroupShape::of_ranks(RANKS);
         let mut config = build_config(2, &shape);
         let routes = config["routes"].as_array_mut().expect("a list");
         for (prefix, kind) in [("/look/", "idempotent"), ("/seal/", "non_idempotent")] {
@@ -184,3 +179,34 @@
     servers.check("/seal/x/").await;
     assert_eq!(servers.deployment.count_runs("a1"), 1);
 }
+
+/// Guards against giving up a request at a silent server because another one answers with an error.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_hedge() {
+    let servers = SilentServers::start().await;
+    let [silent, failing] = [0, 1].map(|n| &servers.others[n]);
+    silent.head_delay_ms.store(SILENCE_MS, Ordering::Relaxed);
+    let error = (StatusCode::INTERNAL_SERVER_ERROR, "a1");
+    failing.signals.set_rejection(Some(error));
+    servers.check("/look/x/").await;
+}
+
+/// Guards against cutting a stream whose silent server breaks off while the hedge has no data yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_before_hedge() {
+    let servers = SilentServers::start().await;
+    for other in &servers.others {
+        other.cut_after.store(EVENTS_BEFORE, Ordering::Relaxed);
+        other.delay_ms.store(SILENCE_MS / 2, Ordering::Relaxed);
+        *other.interruption.lock().expect("the lock") = Some((EVENTS_BEFORE, SILENCE));
+    }
+    let repair = async {
+        let has_run = |r: &Arc<Replica>| r.runs().contains_key("a1");
+        wait_until("the stream", || servers.others.iter().any(has_run)).await;
+        let second = servers.others.iter().find(|r| !has_run(r));
+        let second = second.expect("a server that the stream has not reached");
+        second.cut_after.store(0, Ordering::Relaxed);
+        *second.interruption.lock().expect("the lock") = None;
+    };
+    tokio::join!(servers.check("/draft/x/"), repair);
+}
