--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -80,15 +80,15 @@
 }
 
 /// Starts the hedges of one request, and logs why one is not sent.
-pub(super) struct Hedges {
+pub(super) struct HedgeSender {
     gateway: Arc<Gateway>,
     /// Why the latest hedge was not sent, and when.
     refused: Option<(HedgeRefusal, Time)>,
 }
 
-impl Hedges {
-    pub fn new(gateway: &Arc<Gateway>) -> Hedges {
-        Hedges {
+impl HedgeSender {
+    pub fn new(gateway: &Arc<Gateway>) -> HedgeSender {
+        HedgeSender {
             gateway: Arc::clone(gateway),
             refused: None,
         }
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -22,17 +22,17 @@
 use super::attempt::run_attempt;
 use super::fleet::Target;
 use super::guards::AttemptGuard;
-use super::hedge::Hedges;
+use super::hedge::HedgeSender;
 use super::silence::CHECK_INTERVAL;
 use super::silence::SilenceDetector;
 
-type AttemptResult = Result<PendingResponse, FailedAttempt>;
+type AnswerResult = Result<PendingResponse, FailedAttempt>;
 
 /// Attempt that has no answer yet.
 struct Runner<'call> {
     target: Target,
     silence: SilenceDetector,
-    result: Pin<Box<dyn Future<Output = AttemptResult> + Send + 'call>>,
+    result: Pin<Box<dyn Future<Output = AnswerResult> + Send + 'call>>,
 }
 
 /// Attempts at one request; at least one until the race is over.
@@ -41,7 +41,7 @@
     call: &'call Call,
     attempts: &'call mut DirectAttempts,
     last_event: Option<SmolStr>,
-    hedges: Hedges,
+    hedge_sender: HedgeSender,
     runners: Vec<Runner<'call>>,
     /// Server error that is the answer if no other attempt succeeds.
     error: Option<PendingResponse>,
@@ -60,7 +60,7 @@
             call,
             attempts,
             last_event,
-            hedges: Hedges::new(gateway),
+            hedge_sender: HedgeSender::new(gateway),
             runners: Vec::new(),
             error: None,
         }
@@ -68,7 +68,7 @@
 
     /// Runs the race from its first attempt on. Returns the answer, or the last failure if there is
     /// none; that failure is not recorded in the request's attempts.
-    pub async fn run(mut self, first: AttemptGuard) -> AttemptResult {
+    pub async fn run(mut self, first: AttemptGuard) -> AnswerResult {
         self.add(first);
         loop {
             let ended = {
@@ -82,7 +82,7 @@
                 None => self.hedge_if_silent(),
                 Some((result, index)) => {
                     self.runners.swap_remove(index);
-                    if let Some(result) = self.judge(result) {
+                    if let Some(result) = self.handle_result(result) {
                         return result;
                     }
                 }
@@ -114,7 +114,7 @@
         let last_event = self.last_event.as_ref();
         let cause = HedgeCause::Silent;
         let attempt = self
-            .hedges
+            .hedge_sender
             .start(call, self.attempts, &running, cause, last_event);
         if let Some(attempt) = attempt {
             self.add(attempt);
@@ -122,7 +122,7 @@
     }
 
     /// Returns the result of the race, unless other attempts may still succeed.
-    fn judge(&mut self, result: AttemptResult) -> Option<AttemptResult> {
+    fn handle_result(&mut self, result: AnswerResult) -> Option<AnswerResult> {
         let is_last = self.runners.is_empty();
         match result {
             Ok(mut pending) if pending.response.status().is_server_error() && !is_last => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -43,7 +43,7 @@
 use super::handler::refuse;
 use super::hedge::Hedge;
 use super::hedge::HedgeAnswer;
-use super::hedge::Hedges;
+use super::hedge::HedgeSender;
 use super::response::Body;
 use super::returns;
 use super::silence::CHECK_INTERVAL;
@@ -63,7 +63,7 @@
     attempt: AttemptGuard,
     /// Attempt that may replace `attempt`.
     hedge: Option<Hedge>,
-    hedges: Hedges,
+    hedge_sender: HedgeSender,
     /// First part of the body, if it was read before the attempt became the current one.
     first: Option<Frame<Bytes>>,
     connection: Option<Connection>,
@@ -145,7 +145,7 @@
         attempts,
         attempt: pending.attempt,
         hedge: None,
-        hedges: Hedges::new(gateway),
+        hedge_sender: HedgeSender::new(gateway),
         first: None,
         connection: Some(pending.connection),
         body,
@@ -293,7 +293,7 @@
         let running = [&self.attempt.target];
         let last_event = self.events.last_id();
         let attempt =
-            self.hedges
+            self.hedge_sender
                 .start(&self.call, &mut self.attempts, &running, cause, last_event);
         self.hedge = attempt.map(|attempt| {
             let last_event = last_event.cloned();
